--- /dev/null
+++ b/cmd/verbenalab/main.go
@@ -0,0 +1,22 @@
+// Command verbenalab runs the stand-ins, the load and the experiments of verbenagate.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"verbenagate/lab/labcli"
+	"verbenagate/lab/slope"
+)
+
+func main() {
+	if slope.Child() {
+		return
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := labcli.New(os.Stdout, os.Stderr).Run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/core/commit/commit_test.go
@@ -0,0 +1,134 @@
+package commit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"verbenagate/core/commit"
+	"verbenagate/core/point"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// log is the log of a primary and what callers were told, as a model for several owners that do not know of each other.
+type log struct {
+	term, position uint64
+	acked          map[string]point.Point
+	owners         []*commit.Tracker
+	now            time.Time
+}
+
+// write commits for a caller through an owner. The owner notes it only if the answer reaches it, and acknowledges it only
+// then.
+func (l *log) write(owner int, caller string, answered bool) {
+	l.position++
+	if !answered {
+		return
+	}
+	p := point.New(l.term, l.position)
+	l.owners[owner].Note(l.now, caller, p)
+	l.acked[caller] = l.acked[caller].Max(p)
+}
+
+// Guards against a session that does not see its caller's own write: owners that write at the same time, lost answers, new
+// terms, gaps in the positions and long pauses. What an owner requires covers all acknowledged writes of the caller and
+// is never beyond a full barrier but for commits after it.
+func TestRequiredCoversAcknowledgedWrites(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &log{term: 1, acked: map[string]point.Point{}, now: start, owners: []*commit.Tracker{{}, {}, {}}}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			owner := rapid.IntRange(0, 2).Draw(t, "owner")
+			caller := fmt.Sprint("caller ", rapid.IntRange(0, 3).Draw(t, "caller"))
+			switch rapid.SampledFrom([]string{"write", "write", "write", "lost", "term", "gap", "pause"}).Draw(t, "step") {
+			case "write":
+				l.write(owner, caller, true)
+			case "lost":
+				l.write(owner, caller, false)
+			case "term":
+				l.term++
+				l.position += rapid.Uint64Range(0, 2).Draw(t, "entries of the term itself")
+			case "gap":
+				l.position += rapid.Uint64Range(1, 9).Draw(t, "bytes")
+			case "pause":
+				l.now = l.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second)
+			}
+			newest := point.New(l.term, l.position)
+			for i, o := range l.owners {
+				for c, acked := range l.acked {
+					got := o.Required(c, newest)
+					if !got.Covers(acked) || !newest.Covers(got) {
+						t.Fatalf("owner %d requires %v of %s, who was told of %v; the newest is %v", i, got, c, acked, newest)
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against a barrier as high as the newest position although one owner did all writes, which sends the reads of
+// sessions that roam to the primary.
+func TestOwnWritesAlone(t *testing.T) {
+	g := NewWithT(t)
+	tracker := &commit.Tracker{}
+	g.Expect(tracker.Required("ann", point.New(3, 100))).To(Equal(point.New(3, 100)), "nothing is known")
+	for i := range uint64(50) {
+		caller := "ben"
+		if i == 10 {
+			caller = "ann"
+		}
+		tracker.Note(start, caller, point.New(3, 101+i))
+	}
+	g.Expect(tracker.Required("ann", point.New(3, 150))).To(Equal(point.New(3, 111)))
+	g.Expect(tracker.Required("ben", point.New(3, 150))).To(Equal(point.New(3, 150)))
+	g.Expect(tracker.Required("eve", point.New(3, 150))).To(Equal(point.New(3, 100)))
+	g.Expect(tracker.Complete(point.New(3, 150))).To(BeTrue())
+	g.Expect(tracker.Complete(point.New(3, 151))).To(BeFalse(), "the answer to a commit may be on its way")
+	g.Expect(tracker.Required("eve", point.New(3, 151))).To(Equal(point.New(3, 151)))
+	// Another owner's commit counts for everyone, until the replicas have it anyway.
+	tracker.Note(start, "ben", point.New(3, 152))
+	g.Expect(tracker.Required("ann", point.New(3, 152))).To(Equal(point.New(3, 151)))
+	tracker.Note(start, "ben", point.New(3, 151))
+	g.Expect(tracker.Required("ann", point.New(3, 152))).To(Equal(point.New(3, 111)), "an answer that came later fills the gap")
+}
+
+// Guards against positions that are not those of the commits themselves: two commits at one position could hide a third.
+func TestSharedPositions(t *testing.T) {
+	g := NewWithT(t)
+	tracker := &commit.Tracker{}
+	tracker.Note(start, "ann", point.New(1, 5))
+	tracker.Note(start, "ben", point.New(1, 5))
+	tracker.Note(start, "ben", point.New(1, 6))
+	g.Expect(tracker.Required("eve", point.New(1, 6))).To(Equal(point.New(1, 6)))
+	tracker.Note(start, "ben", point.New(2, 7))
+	g.Expect(tracker.Required("eve", point.New(2, 7))).To(Equal(point.New(2, 6)), "a new term may have another server")
+}
+
+// Guards against memory that grows with the commits and callers of a long run.
+func TestBounds(t *testing.T) {
+	g := NewWithT(t)
+	tracker := &commit.Tracker{}
+	const commits = 200_000
+	for i := range uint64(commits) {
+		tracker.Note(start.Add(time.Duration(i)*time.Millisecond), fmt.Sprint(i), point.New(1, 2*i+2))
+	}
+	newest := point.New(1, 2*commits)
+	g.Expect(tracker.Required("199999", newest)).To(Equal(newest))
+	g.Expect(tracker.Required("1", newest)).To(Equal(point.New(1, 2*commits-1)))
+	g.Expect(tracker.Size()).To(BeNumerically("<=", 2*16<<10+256))
+}
+
+func BenchmarkNote(b *testing.B) {
+	tracker := &commit.Tracker{}
+	names := make([]string, 1000)
+	for i := range names {
+		names[i] = fmt.Sprint("caller ", i)
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		tracker.Note(start, names[i%len(names)], point.New(1, uint64(i)+1))
+	}
+}
--- /dev/null
+++ b/core/event/level.go
@@ -0,0 +1,69 @@
+package event
+
+// Level says how serious an event is.
+type Level int8
+
+// The levels, in ascending order.
+const (
+	LevelDebug Level = iota - 1
+	LevelInfo
+	LevelWarn
+	LevelError
+)
+
+// String returns the level's name as it stands in the settings.
+func (l Level) String() string {
+	switch l {
+	case LevelDebug:
+		return "debug"
+	case LevelInfo:
+		return "info"
+	case LevelWarn:
+		return "warn"
+	case LevelError:
+		return "error"
+	}
+	return "invalid"
+}
+
+// levels lists the events whose level is not info. Events that occur once per connection or per unit of work are at
+// debug, so that the log volume at the default level does not grow with the load.
+var levels = map[ID]Level{
+	NodeFailed:        LevelError,
+	KeysRefused:       LevelError,
+	FilesLimit:        LevelWarn,
+	CallerProtocol:    LevelWarn,
+	CallerClosed:      LevelDebug,
+	RouteRetry:        LevelDebug,
+	RouteNoBarrier:    LevelWarn,
+	EndptDown:         LevelWarn,
+	EndptPoisoned:     LevelWarn,
+	EndptEvicted:      LevelWarn,
+	EndptNotEvicted:   LevelWarn,
+	PeerLost:          LevelWarn,
+	PeerBadMessage:    LevelWarn,
+	SeedsUnreachable:  LevelWarn,
+	MemberDead:        LevelWarn,
+	PrimarySilent:     LevelWarn,
+	PromotionStarted:  LevelWarn,
+	PromotionDone:     LevelWarn,
+	PromotionFailed:   LevelError,
+	TermReserved:      LevelDebug,
+	ConfigOlder:       LevelWarn,
+	ConfigRefused:     LevelWarn,
+	StoreDown:         LevelWarn,
+	StoreAnswerLost:   LevelWarn,
+	DrainTimeout:      LevelWarn,
+	InvariantViolated: LevelError,
+}
+
+// Level returns how serious the event is.
+func (i Info) Level() Level { return levels[i.id] }
+
+// Layers returns every layer in the order of the event numbers.
+func Layers() []Layer {
+	return []Layer{
+		LayerNode, LayerCaller, LayerRoute, LayerEndpt, LayerPeer, LayerMember, LayerFailov, LayerConfig, LayerPlatf,
+		LayerAdmin, LayerDrain, LayerInvaria,
+	}
+}
--- /dev/null
+++ b/core/failov/note_test.go
@@ -0,0 +1,58 @@
+package failov
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// Guards against a primary that is noted by all watchers or by none: the VM that promoted it comes first and tries again,
+// the others follow in their order, and nothing is due once the record is known to hold it.
+func TestNoteOrder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := time.Unix(1000, 0)
+	due := func(n Note, after time.Duration, rank int) bool { // n is a copy
+		_, _, ok := n.Due(start.Add(after), rank)
+		return ok
+	}
+	var own, other Note
+	own.Serves(start, "b", 5, true)
+	other.Serves(start, "b", 5, false)
+	g.Expect(due(own, 0, 1)).To(gomega.BeTrue())
+	for rank := range 3 {
+		turn := time.Duration(rank+1) * noteLag
+		g.Expect(due(other, turn-1, rank)).To(gomega.BeFalse())
+		g.Expect(due(other, turn, rank)).To(gomega.BeTrue())
+	}
+	address, term, _ := own.Due(start, 0)
+	g.Expect(address).To(gomega.Equal("b"))
+	g.Expect(term).To(gomega.Equal(uint64(5)))
+	g.Expect(due(own, time.Hour, 0)).To(gomega.BeFalse(), "an attempt is under way")
+	own.Done(start, 5, false)
+	g.Expect(due(own, noteRetry-1, 0)).To(gomega.BeFalse())
+	g.Expect(due(own, noteRetry, 0)).To(gomega.BeTrue())
+	own.Done(start, 5, true)
+	other.Recorded(5)
+	g.Expect(due(own, time.Hour, 0)).To(gomega.BeFalse())
+	g.Expect(due(other, time.Hour, 0)).To(gomega.BeFalse())
+	other.Recorded(3)
+	g.Expect(due(other, time.Hour, 0)).To(gomega.BeTrue(), "the store came back older")
+}
+
+// Guards against an attempt for an older term that hides that the primary of a newer one is not noted.
+func TestNoteOfOlderTerm(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := time.Unix(1000, 0)
+	var n Note
+	n.Serves(start, "b", 5, true)
+	_, _, ok := n.Due(start, 0)
+	g.Expect(ok).To(gomega.BeTrue())
+	n.Serves(start, "c", 6, true)
+	n.Serves(start, "b", 5, false)
+	n.Done(start, 5, true)
+	address, term, ok := n.Due(start, 0)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(address).To(gomega.Equal("c"))
+	g.Expect(term).To(gomega.Equal(uint64(6)))
+}
--- /dev/null
+++ b/core/once/once_test.go
@@ -0,0 +1,132 @@
+package once_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"verbenagate/core/once"
+	"verbenagate/core/result"
+	"verbenagate/core/stmt"
+	"verbenagate/core/svcdef"
+)
+
+// parser gives every statement with the same first word the same fingerprint.
+type parser struct{}
+
+func (parser) Parse(text string) ([]stmt.Info, error) {
+	var list []stmt.Info
+	for part := range strings.SplitSeq(text, ";") {
+		f := uint64(len(strings.Fields(part)[0]))
+		list = append(list, stmt.NewInfo(stmt.Write, stmt.EffectNone, f, nil, ""))
+	}
+	return list, nil
+}
+
+const (
+	pay = "INSERT INTO payment (member, amount, note) VALUES ($1, $2, 'due') RETURNING id"
+	fp  = uint64(6)
+)
+
+func declare(text string, key ...int) (*once.Rules, error) {
+	s := svcdef.New(svcdef.Spec{Once: []svcdef.OnceSpec{{Statement: text, Key: key, Keep: time.Hour}}})
+	return once.New(s.OnceRules(), parser{})
+}
+
+func key(g *WithT, r *once.Rules, values ...string) string {
+	var list [][]byte
+	for _, v := range values {
+		list = append(list, []byte(v))
+	}
+	k, err := r.Key(fp, list)
+	g.Expect(err).NotTo(HaveOccurred())
+	return k.Key
+}
+
+// Guards against two requests with one key, and one request with two keys.
+func TestKey(t *testing.T) {
+	g := NewWithT(t)
+	r, err := declare(pay, 1, 2)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(key(g, r, "7", "10")).To(Equal(key(g, r, "7", "10")))
+	g.Expect(key(g, r, "7", "10")).NotTo(Equal(key(g, r, "71", "0")), "values are delimited")
+	null, err := r.Key(fp, [][]byte{nil, []byte("10")})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(null.Key).NotTo(Equal(key(g, r, "", "10")))
+	g.Expect(null.Keep).To(Equal(time.Hour))
+	one, err := declare(pay, 2)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(key(g, one, "7", "10")).To(Equal(key(g, one, "8", "10")), "only declared parameters count")
+	_, err = r.Key(fp, [][]byte{[]byte("7")})
+	g.Expect(result.CodeOf(err)).To(Equal(result.Unsupported))
+	g.Expect(r.Declared(5)).To(BeFalse())
+}
+
+// Guards against a repeated simple query that is not recognised, or a different one that is taken for a repetition.
+func TestKeyOfText(t *testing.T) {
+	g := NewWithT(t)
+	r, err := declare(pay, 1, 2)
+	g.Expect(err).NotTo(HaveOccurred())
+	for text, same := range map[string]string{
+		"insert into payment(member,amount,note)\nvalues (7, -10.5e3, 'due') returning id;": "7|-10.5e3",
+		"INSERT INTO payment (member, amount, note) VALUES ('O''N', 1, 'due') RETURNING id": "O'N|1",
+		"INSERT INTO payment (member, amount, note) VALUES (true, 1, 'due') RETURNING id":   "true|1",
+	} {
+		k, err := r.KeyOfText(fp, text)
+		g.Expect(err).NotTo(HaveOccurred(), text)
+		g.Expect(k.Key).To(Equal(key(g, r, strings.Split(same, "|")...)), text)
+	}
+	for _, text := range []string{
+		"INSERT INTO payment (member, amount, note) VALUES (7, 10, 'fee') RETURNING id",
+		"INSERT INTO payment (member, amount, note) VALUES (7, 10, 'due') RETURNING id, member",
+		"INSERT INTO payment (member, amount, note) VALUES (7, 10+1, 'due') RETURNING id",
+		"INSERT INTO payment (member, amount, note) VALUES (E'7', 10, 'due') RETURNING id",
+		"INSERT INTO payment (member, amount, note) VALUES ($$7$$, 10, 'due') RETURNING id",
+		"INSERT INTO payment (member, amount, note) VALUES (7, 10, 'due",
+		"INSERT INTO payment (member, amount, note) VALUES (7, 10 /* ' */, 'due') RETURNING id",
+	} {
+		_, err := r.KeyOfText(fp, text)
+		g.Expect(result.CodeOf(err)).To(Equal(result.Unsupported), text)
+	}
+}
+
+// Guards against declarations under which no request could be told from another.
+func TestInvalidRules(t *testing.T) {
+	g := NewWithT(t)
+	for _, err := range []error{
+		second(declare(pay)), second(declare(pay, 3)), second(declare("SELECT 1; SELECT 2", 1)),
+	} {
+		g.Expect(result.CodeOf(err)).To(Equal(result.InvalidConfig))
+	}
+}
+
+func second(_ *once.Rules, err error) error { return err }
+
+// Guards against expiry that misses a rule's records or deletes those of another rule.
+func TestExpiry(t *testing.T) {
+	g := NewWithT(t)
+	r, err := declare(pay, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	e := r.Expiries()
+	g.Expect(e).To(HaveLen(1))
+	k := key(g, r, "7")
+	g.Expect(k > e[0].From() && k < e[0].To()).To(BeTrue())
+	g.Expect("0000000000000007:x" < e[0].To()).To(BeFalse())
+	g.Expect(e[0].Before(time.Unix(7200, 0))).To(Equal(int64(3600_000)))
+}
+
+func Example() {
+	s := svcdef.New(svcdef.Spec{Once: []svcdef.OnceSpec{{Statement: pay, Key: []int{1, 2}, Keep: time.Hour}}})
+	r, err := once.New(s.OnceRules(), parser{})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	a, _ := r.Key(fp, [][]byte{[]byte("7"), []byte("10")})
+	b, _ := r.KeyOfText(fp, "INSERT INTO payment (member, amount, note) VALUES (7, 10, 'due') RETURNING id")
+	fmt.Println(a == b)
+	// Output: true
+}
--- /dev/null
+++ b/core/owner/owner.go
@@ -0,0 +1,106 @@
+// Package owner decides which VM owns a database server, by rendezvous hashing over the live VMs.
+//
+// All functions are pure: VMs with the same view of the members come to the same answer without talking to each other.
+package owner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"verbenagate/core/svcdef"
+)
+
+// Live lists the VMs that may own servers. core/member.View implements it.
+type Live interface {
+	// Live returns the ids of all live VMs.
+	Live() []string
+	// LiveIn returns the ids of the live VMs of a data centre.
+	LiveIn(dataCentre string) []string
+}
+
+// Mortal is the ability of a Live to tell a VM that has stopped answering from one that leaves.
+type Mortal interface {
+	// IsSuspect reports whether a VM has stopped answering and does not count as dead yet.
+	IsSuspect(id string) bool
+	// IsDead reports whether a VM counts as dead.
+	IsDead(id string) bool
+}
+
+// score is the weight of a member for a key. Both hashes go through the finalizer of MurmurHash3, because their plain
+// sum would order the members almost the same way for every key.
+func score(key, member uint64) uint64 {
+	x := key ^ (member * 0x9e3779b97f4a7c15)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
+
+// Order returns the members in rendezvous order for key, the preferred one first. Without a member, the order of the
+// others stays the same.
+func Order(key string, members []string) []string {
+	type ranked struct {
+		id    string
+		score uint64
+	}
+	h := xxhash.Sum64String(key)
+	all := make([]ranked, len(members))
+	for i, m := range members {
+		all[i] = ranked{m, score(h, xxhash.Sum64String(m))}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.id, b.id)
+	})
+	out := make([]string, len(all))
+	for i, r := range all {
+		out[i] = r.id
+	}
+	return out
+}
+
+// First returns the first member in the rendezvous order for key; false without members.
+func First(key string, members []string) (string, bool) {
+	h := xxhash.Sum64String(key)
+	best, top := "", uint64(0)
+	for i, m := range members {
+		s := score(h, xxhash.Sum64String(m))
+		if i == 0 || s > top || s == top && m < best {
+			best, top = m, s
+		}
+	}
+	return best, len(members) > 0
+}
+
+// Top returns the first n members in the rendezvous order for key, or all if there are fewer.
+func Top(key string, members []string, n int) []string {
+	order := Order(key, members)
+	return order[:min(n, len(order))]
+}
+
+// Of returns the VM that owns the server at address: the first live VM of the server's data centre in rendezvous order,
+// or of all data centres if that one has no live VM. It returns false if no VM is live.
+func Of(address, dataCentre string, live Live) (string, bool) {
+	if id, ok := First(address, live.LiveIn(dataCentre)); ok {
+		return id, true
+	}
+	return First(address, live.Live())
+}
+
+// Candidates returns the VMs that own a server of the group, in the rendezvous order of the group's name. They watch the
+// group, and the first one that is able to promotes a new primary.
+func Candidates(group string, servers []svcdef.Server, live Live) []string {
+	var ids []string
+	for _, s := range servers {
+		if id, ok := Of(s.Address(), s.DataCentre(), live); ok && !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	return Order(group, ids)
+}
--- /dev/null
+++ b/core/owner/owner_test.go
@@ -0,0 +1,127 @@
+package owner_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"verbenagate/core/owner"
+	"verbenagate/core/svcdef"
+)
+
+type live map[string][]string
+
+func (l live) LiveIn(dc string) []string { return l[dc] }
+
+func (l live) Live() []string {
+	var all []string
+	for _, ids := range l {
+		all = append(all, ids...)
+	}
+	slices.Sort(all)
+	return all
+}
+
+func vms(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("vm-%d", i)
+	}
+	return out
+}
+
+// Guards against a change of members that moves servers between two VMs that both stay.
+func TestRemovalMovesOnlyKeysOfRemoved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.SliceOfNDistinct(rapid.StringN(1, 12, -1), 1, 40, rapid.ID[string]).Draw(t, "members")
+		key := rapid.String().Draw(t, "key")
+		gone := rapid.SampledFrom(members).Draw(t, "gone")
+		order := owner.Order(key, members)
+		rest := slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == gone })
+		want := slices.DeleteFunc(slices.Clone(order), func(m string) bool { return m == gone })
+		if got := owner.Order(key, rest); !slices.Equal(got, want) {
+			t.Fatalf("without %q the order is %q, want %q", gone, got, want)
+		}
+		if first, _ := owner.First(key, members); first != order[0] {
+			t.Fatalf("First is %q, Order begins with %q", first, order[0])
+		}
+		slices.Reverse(members)
+		if !slices.Equal(owner.Order(key, members), order) {
+			t.Fatal("the order depends on the order of the arguments")
+		}
+	})
+}
+
+// Guards against a hash that gives some VMs many more servers than others.
+func TestEvenSpread(t *testing.T) {
+	for _, n := range []int{3, 9, 90} {
+		g := NewWithT(t)
+		const perVM = 1000
+		count := map[string]int{}
+		for i := range n * perVM {
+			id, _ := owner.First(fmt.Sprintf("10.0.%d.%d:5432", i/250, i%250), vms(n))
+			count[id]++
+		}
+		// The standard deviation is about 32; six of them on either side leave the fixed keys ample room.
+		for _, id := range vms(n) {
+			g.Expect(count[id]).To(BeNumerically("~", perVM, 200), "n=%d id=%s", n, id)
+		}
+	}
+}
+
+// Guards against a server without an owner while another data centre has live VMs.
+func TestOwnerFallsBackToOtherDataCentres(t *testing.T) {
+	g := NewWithT(t)
+	l := live{"a": {"a1", "a2"}, "b": {"b1"}}
+	id, ok := owner.Of("s:1", "b", l)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(id).To(Equal("b1"))
+	delete(l, "b")
+	id, ok = owner.Of("s:1", "b", l)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(l["a"]).To(ContainElement(id))
+	_, ok = owner.Of("s:1", "b", live{})
+	g.Expect(ok).To(BeFalse())
+}
+
+// Guards against a watcher that is listed twice or that owns no server of the group.
+func TestCandidatesOwnServers(t *testing.T) {
+	g := NewWithT(t)
+	l := live{"a": {"a1"}, "b": {"b1", "b2"}, "c": {"c1"}}
+	s := svcdef.New(svcdef.Spec{Servers: []svcdef.ServerSpec{
+		{Address: "s1", DataCentre: "a"}, {Address: "s2", DataCentre: "a"}, {Address: "s3", DataCentre: "b"},
+	}})
+	b, _ := owner.Of("s3", "b", l)
+	got := owner.Candidates("dues", s.Servers(), l)
+	g.Expect(got).To(ConsistOf("a1", b))
+	g.Expect(got).To(Equal(owner.Order("dues", []string{"a1", b})))
+}
+
+func BenchmarkOrder(b *testing.B) {
+	for _, n := range []int{9, 90, 790} {
+		members := vms(n)
+		b.Run(fmt.Sprintf("Order/%d", n), func(b *testing.B) {
+			for b.Loop() {
+				owner.Order("10.0.0.1:5432", members)
+			}
+		})
+		b.Run(fmt.Sprintf("First/%d", n), func(b *testing.B) {
+			for b.Loop() {
+				owner.First("10.0.0.1:5432", members)
+			}
+		})
+	}
+}
+
+func ExampleOrder() {
+	before := owner.Order("10.0.0.7:5432", []string{"vm-1", "vm-2", "vm-3"})
+	after := owner.Order("10.0.0.7:5432", []string{"vm-2", "vm-3"})
+	fmt.Println(before)
+	fmt.Println(after)
+	// Output:
+	// [vm-1 vm-3 vm-2]
+	// [vm-3 vm-2]
+}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,70 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"verbenagate/core/result"
+	"verbenagate/core/retry"
+)
+
+func TestRetry(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "core/retry")
+}
+
+var (
+	start    = time.Unix(1000, 0)
+	deadline = start.Add(time.Second)
+)
+
+// Guards against a repetition of what may have taken effect.
+var _ = ginkgo.Describe("Decide", func() {
+	ginkgo.It("repeats nothing unless it certainly did not run", func() {
+		for _, i := range result.All() {
+			if i.Outcome() != result.NotRun {
+				gomega.Expect(retry.Decide(start, deadline, i.Code())).To(gomega.Equal(retry.Stop), i.Name())
+			}
+		}
+	})
+	ginkgo.It("repeats nothing after the deadline", func() {
+		for _, i := range result.All() {
+			gomega.Expect(retry.Decide(deadline, deadline, i.Code())).To(gomega.Equal(retry.Stop), i.Name())
+		}
+	})
+	ginkgo.DescribeTable("chooses by code",
+		func(c result.Code, want retry.Verdict) {
+			gomega.Expect(retry.Decide(start, deadline, c)).To(gomega.Equal(want))
+		},
+		ginkgo.Entry("a replica that is behind", result.ServerBehind, retry.Elsewhere),
+		ginkgo.Entry("a VM that is cut off", result.PeerUnreachable, retry.Elsewhere),
+		ginkgo.Entry("a server that is cut off", result.ConnectFailed, retry.Elsewhere),
+		ginkgo.Entry("a full queue", result.QueueFull, retry.Elsewhere),
+		ginkgo.Entry("a replaced primary", result.NotPrimary, retry.Again),
+		ginkgo.Entry("a transaction that was rolled back with its connection", result.RolledBack, retry.Again),
+		ginkgo.Entry("a statement that cannot be supported", result.Unsupported, retry.Stop),
+		ginkgo.Entry("a lost answer", result.AnswerLost, retry.Stop),
+	)
+})
+
+// Guards against a delay that shrinks, is zero or exceeds its limit, also for very many attempts.
+var _ = ginkgo.Describe("Backoff", func() {
+	b := retry.NewBackoff(2*time.Millisecond, 50*time.Millisecond)
+	ginkgo.It("grows to its limit", func() {
+		last := time.Duration(0)
+		for n := 1; n <= 100; n++ {
+			d := b.Delay(n, 0.5)
+			gomega.Expect(d).To(gomega.BeNumerically(">=", last))
+			gomega.Expect(d).To(gomega.BeNumerically("<=", 50*time.Millisecond))
+			last = d
+		}
+		gomega.Expect(b.Delay(1<<62, 1)).To(gomega.Equal(50 * time.Millisecond))
+	})
+	ginkgo.It("keeps half of the delay fixed", func() {
+		gomega.Expect(b.Delay(1, 0)).To(gomega.Equal(time.Millisecond))
+		gomega.Expect(b.Delay(1, 1)).To(gomega.Equal(2 * time.Millisecond))
+	})
+})
--- /dev/null
+++ b/core/sess/sess_test.go
@@ -0,0 +1,250 @@
+package sess
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"verbenagate/core/point"
+	"verbenagate/core/result"
+	"verbenagate/core/stmt"
+	"verbenagate/core/svcdef"
+	"verbenagate/core/work"
+)
+
+func info(c stmt.Class, tables ...string) stmt.Info {
+	return stmt.NewInfo(c, stmt.EffectNone, uint64(c)+1, tables, "")
+}
+
+func effect(e stmt.Effect) stmt.Info { return stmt.NewInfo(stmt.Unknown, e, 1, nil, "") }
+
+type fakeParser map[string]stmt.Info
+
+func (f fakeParser) Parse(text string) ([]stmt.Info, error) { return []stmt.Info{f[text]}, nil }
+
+// Guards against units that run on a server that could give a stale answer.
+func TestDecide(t *testing.T) {
+	at := point.New(3, 40)
+	known := State{required: at, known: true}
+	for _, c := range []struct {
+		name  string
+		state State
+		infos []stmt.Info
+		want  Need
+	}{
+		{"read", known, []stmt.Info{info(stmt.Read)}, NeedAtLeast{at}},
+		{"reads", known, []stmt.Info{info(stmt.Read), info(stmt.Empty), info(stmt.Read)}, NeedAtLeast{at}},
+		{"write", known, []stmt.Info{info(stmt.Write)}, NeedPrimary{at}},
+		{"read and write", known, []stmt.Info{info(stmt.Read), info(stmt.Write)}, NeedPrimary{at}},
+		{"not understood", known, []stmt.Info{info(stmt.Unknown)}, NeedPrimary{at}},
+		{"begin", known, []stmt.Info{info(stmt.Begin)}, NeedPrimary{at}},
+		{"begin read only", known, []stmt.Info{info(stmt.BeginReadOnly)}, NeedAtLeast{at}},
+		{
+			"read-only transaction", known,
+			[]stmt.Info{info(stmt.BeginReadOnly), info(stmt.Read), info(stmt.Commit)},
+			NeedAtLeast{at},
+		},
+		{
+			"write after read-only transaction", known,
+			[]stmt.Info{info(stmt.BeginReadOnly), info(stmt.Commit), info(stmt.Write)},
+			NeedPrimary{at},
+		},
+		{
+			"commit of an earlier transaction, then a read-only one", known,
+			[]stmt.Info{info(stmt.Commit), info(stmt.BeginReadOnly)},
+			NeedPrimary{at},
+		},
+		{"nothing", State{}, []stmt.Info{info(stmt.Empty)}, NeedAtLeast{}},
+		{"read, point unknown", State{}, []stmt.Info{info(stmt.Read)}, NeedUnknownPoint{}},
+		{"stated age, point unknown", State{}, []stmt.Info{info(stmt.Read, "summary")}, NeedAge{maxAge: time.Minute}},
+		{"stated age", known, []stmt.Info{info(stmt.Read, "summary")}, NeedAge{maxAge: time.Minute}},
+		{"begin, point unknown", State{}, []stmt.Info{info(stmt.Begin)}, NeedUnknownPoint{}},
+		{"not understood, point unknown", State{}, []stmt.Info{info(stmt.Unknown)}, NeedUnknownPoint{}},
+		{"write, point unknown", State{}, []stmt.Info{info(stmt.Write)}, NeedPrimary{}},
+		{"read in transaction", State{status: work.TxActive}, []stmt.Info{info(stmt.Read)}, KeepStream{inTx: true}},
+		{"read when pinned", State{pinned: true, known: true}, []stmt.Info{info(stmt.Read)}, KeepStream{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rules := NewRules(svcdef.New(svcdef.Spec{
+				Stale: []svcdef.StaleSpec{{Table: "summary", MaxAge: time.Minute}},
+			}), fakeParser{})
+			gomega.NewWithT(t).Expect(c.state.Decide(c.infos, "clerk", rules)).To(gomega.Equal(c.want))
+		})
+	}
+}
+
+// Guards against a declaration that makes reads stale which it doesn't cover.
+func TestMaxAge(t *testing.T) {
+	g := gomega.NewWithT(t)
+	report := stmt.NewInfo(stmt.Read, stmt.EffectNone, 77, []string{"dues", "plots"}, "")
+	rules := NewRules(svcdef.New(svcdef.Spec{Stale: []svcdef.StaleSpec{
+		{Table: "summary", MaxAge: time.Hour},
+		{Table: "drawer", User: "browser", MaxAge: time.Minute},
+		{Table: "public.sheets", MaxAge: time.Minute},
+		{Statement: "report", MaxAge: 5 * time.Minute},
+		{Statement: "broken", MaxAge: time.Minute},
+		{User: "batch", MaxAge: 2 * time.Hour},
+	}}), fakeParser{"report": report})
+	age := func(caller string, infos ...stmt.Info) time.Duration {
+		d, _ := rules.MaxAge(caller, infos)
+		return d
+	}
+	g.Expect(age("x", info(stmt.Read, "summary"))).To(gomega.Equal(time.Hour))
+	g.Expect(age("x", info(stmt.Read, "public.summary"))).To(gomega.Equal(time.Hour))
+	g.Expect(age("x", info(stmt.Read, "summary", "plots"))).To(gomega.BeZero())
+	g.Expect(age("x", info(stmt.Read, "summary"), info(stmt.Read, "plots"))).To(gomega.BeZero())
+	g.Expect(age("x", info(stmt.Write, "summary"))).To(gomega.BeZero())
+	g.Expect(age("x", info(stmt.Read, "drawer"))).To(gomega.BeZero())
+	g.Expect(age("browser", info(stmt.Read, "drawer"))).To(gomega.Equal(time.Minute))
+	g.Expect(age("browser", info(stmt.Read, "drawer", "summary"))).To(gomega.Equal(time.Minute))
+	g.Expect(age("x", info(stmt.Read, "public.sheets"))).To(gomega.Equal(time.Minute))
+	g.Expect(age("x", info(stmt.Read, "sheets"))).To(gomega.BeZero())
+	g.Expect(age("x", report)).To(gomega.Equal(5 * time.Minute))
+	g.Expect(age("batch", info(stmt.Read, "plots"))).To(gomega.Equal(2 * time.Hour))
+	g.Expect(age("batch", info(stmt.Read))).To(gomega.Equal(2 * time.Hour))
+	g.Expect(age("x", info(stmt.Read))).To(gomega.BeZero())
+}
+
+// Guards against a server connection that returns to the pool with a caller's state in it, or never returns.
+func TestPin(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var s State
+	s.Ended([]stmt.Info{effect(stmt.EffectPin)}, work.Final{Code: result.QueueFull, Status: work.TxIdle})
+	g.Expect(s.Pinned()).To(gomega.BeFalse(), "a unit that did not run pins nothing")
+	s.Ended([]stmt.Info{effect(stmt.EffectPin)}, work.Final{Code: result.OK, Status: work.TxIdle})
+	g.Expect(s.HoldsStream()).To(gomega.BeTrue())
+	s.Ended([]stmt.Info{effect(stmt.EffectReset)}, work.Final{Code: result.OK, Status: work.TxIdle})
+	g.Expect(s.HoldsStream()).To(gomega.BeFalse())
+	s.Ended(nil, work.Final{Code: result.OK, Status: work.TxFailed})
+	g.Expect(s.HoldsStream()).To(gomega.BeTrue())
+	s.StreamLost()
+	g.Expect(s.HoldsStream()).To(gomega.BeFalse())
+}
+
+// Guards against settings that are lost without an error after a DISCARD ALL that the server refuses in a transaction.
+func TestResetInTransaction(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var s State
+	s.Ended([]stmt.Info{effect(stmt.EffectPin)}, work.Final{Code: result.OK, Status: work.TxIdle})
+	s.Ended([]stmt.Info{info(stmt.Begin)}, work.Final{Code: result.OK, Status: work.TxActive})
+	g.Expect(s.Keeps([]stmt.Info{effect(stmt.EffectReset)})).To(gomega.BeTrue())
+	s.Ended([]stmt.Info{effect(stmt.EffectReset)}, work.Final{Code: result.OK, Status: work.TxFailed})
+	s.Ended([]stmt.Info{info(stmt.Rollback)}, work.Final{Code: result.OK, Status: work.TxIdle})
+	g.Expect(s.Pinned()).To(gomega.BeTrue())
+	s.Ended([]stmt.Info{effect(stmt.EffectReset)}, work.Final{Code: result.OK, Status: work.TxIdle})
+	g.Expect(s.Pinned()).To(gomega.BeFalse())
+}
+
+// Guards against a required point that goes back, or that counts as known without a barrier.
+func TestRequiredPoint(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s State
+		barrier := false
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			p := point.New(rapid.Uint64Range(0, 5).Draw(t, "term"), rapid.Uint64Range(0, 50).Draw(t, "position"))
+			before, _ := s.Required()
+			if rapid.Bool().Draw(t, "barrier") {
+				s.Barrier(p)
+				barrier = true
+			} else {
+				s.Ended(nil, work.Final{Code: result.OK, Term: p.Term(), Position: p.Position(), Status: work.TxIdle})
+			}
+			after, known := s.Required()
+			if !after.Covers(before) || !after.Covers(p) || known != barrier {
+				t.Fatalf("required %v after %v and %v, known %v", after, before, p, known)
+			}
+		}
+	})
+}
+
+// Guards against a caller that reads from a replica that lags whether a request of unknown outcome took effect, and
+// against a barrier for requests that committed nothing.
+func TestUnknownOutcomeMakesPointUnknown(t *testing.T) {
+	for _, c := range []struct {
+		class stmt.Class
+		code  result.Code
+		known bool
+	}{
+		{stmt.Write, result.ConnectionLost, false},
+		{stmt.Commit, result.QuorumNotReached, false},
+		{stmt.Unknown, result.AnswerLost, false},
+		{stmt.Read, result.ConnectionLost, true},
+		{stmt.Write, result.RolledBack, true},
+		{stmt.Write, result.OK, true},
+	} {
+		g := gomega.NewWithT(t)
+		s := State{required: point.New(3, 40), known: true}
+		s.Ended([]stmt.Info{info(c.class)}, work.Final{Code: c.code, Status: work.TxIdle})
+		required, known := s.Required()
+		g.Expect(known).To(gomega.Equal(c.known), "%v, %v", c.class, c.code)
+		g.Expect(required).To(gomega.Equal(point.New(3, 40)))
+	}
+}
+
+// Guards against a unit that commits an earlier transaction and counts as one that cannot commit: a lost answer to it would
+// be reported as a transaction that was rolled back, and a part of its answer passed on before the commit is confirmed.
+func TestCommitBeforeBegin(t *testing.T) {
+	for _, c := range []struct {
+		classes []stmt.Class
+		commits bool
+	}{
+		{[]stmt.Class{stmt.Commit, stmt.Begin}, true},
+		{[]stmt.Class{stmt.Commit, stmt.BeginReadOnly}, true},
+		{[]stmt.Class{stmt.Read, stmt.Commit, stmt.Empty, stmt.Begin, stmt.Read}, true},
+		{[]stmt.Class{stmt.Begin, stmt.Read, stmt.Commit}, false},
+		{[]stmt.Class{stmt.BeginReadOnly, stmt.Read, stmt.Commit}, false},
+		{[]stmt.Class{stmt.Rollback, stmt.Begin}, false},
+	} {
+		var infos []stmt.Info
+		for _, class := range c.classes {
+			infos = append(infos, info(class))
+		}
+		class, _ := Summary(infos)
+		gomega.NewWithT(t).Expect(class.MayCommit()).To(gomega.Equal(c.commits), "%v", c.classes)
+	}
+}
+
+// Guards against a session that takes unbounded memory with prepared statements.
+func TestNamesBounds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := NewNames(2, 1000)
+	g.Expect(n.Put("a", Define("SELECT 1", nil))).To(gomega.Succeed())
+	g.Expect(n.Put("", Define("SELECT 2", nil))).To(gomega.Succeed())
+	g.Expect(n.Put("", Define("SELECT 3", nil))).To(gomega.Succeed())
+	g.Expect(result.CodeOf(n.Put("c", Define("SELECT 4", nil)))).To(gomega.Equal(result.TooLarge))
+	n.Remove("a")
+	g.Expect(n.Put("c", Define("SELECT 4", nil))).To(gomega.Succeed())
+	g.Expect(result.CodeOf(n.Put("c", Define(string(make([]byte, 1000)), nil)))).To(gomega.Equal(result.TooLarge))
+	n.Clear()
+	g.Expect([]int{n.Len(), n.bytes}).To(gomega.Equal([]int{0, 0}))
+}
+
+// Guards against two different statements that share a name on a server connection.
+func TestDefine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := Define("SELECT $1", []uint32{23})
+	g.Expect(Define("SELECT $1", []uint32{23}).Name).To(gomega.Equal(a.Name))
+	g.Expect(Define("SELECT $1", []uint32{20}).Name).NotTo(gomega.Equal(a.Name))
+	g.Expect(Define("SELECT $1", nil).Name).NotTo(gomega.Equal(a.Name))
+	g.Expect(Define("SELECT $2", []uint32{23}).Name).NotTo(gomega.Equal(a.Name))
+}
+
+func Example() {
+	var s State
+	read := []stmt.Info{stmt.NewInfo(stmt.Read, stmt.EffectNone, 1, []string{"plots"}, "")}
+	for range 2 {
+		switch n := s.Decide(read, "clerk", nil).(type) {
+		case NeedUnknownPoint:
+			fmt.Println("barrier first")
+		case NeedAtLeast:
+			fmt.Println("any server at", n.Point())
+		}
+		s.Barrier(point.New(2, 17))
+	}
+	// Output:
+	// barrier first
+	// any server at 2/17
+}
--- /dev/null
+++ b/core/spread/snapshot.go
@@ -0,0 +1,29 @@
+package spread
+
+// Snapshot is the whole configuration as of one revision. Its body is opaque here.
+type Snapshot struct {
+	number uint64
+	body   []byte
+	log    []Revision
+}
+
+// NewSnapshot returns the snapshot of the configuration as of a revision.
+func NewSnapshot(number uint64, body []byte) Snapshot { return Snapshot{number: number, body: body} }
+
+// With returns s with the last revisions before it, in ascending order, so that a VM that starts from it can restore a
+// store that came back older. Without an unbroken sequence up to the snapshot they are left out.
+func (s Snapshot) With(log []Revision) Snapshot {
+	for i, r := range log {
+		if r.number+uint64(len(log)-1-i) != s.number {
+			return s
+		}
+	}
+	s.log = log[max(0, len(log)-logSize):]
+	return s
+}
+
+// Number returns the number of the last revision in the snapshot.
+func (s Snapshot) Number() uint64 { return s.number }
+
+// Body returns the encoded configuration. The caller must not change it.
+func (s Snapshot) Body() []byte { return s.body }
--- /dev/null
+++ b/core/svcdef/catalog.go
@@ -0,0 +1,318 @@
+package svcdef
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"verbenagate/core/result"
+)
+
+// HistoryLimit is how many revisions a Catalog keeps: as many as core/spread, which has the same bytes, for about four hours
+// of 3,100 changes a day. Older ones stay in the table service.
+const HistoryLimit = 512
+
+// RevisionSpec has the fields of a Revision for NewRevision and for codecs. Spec is nil if the service is removed.
+type RevisionSpec struct {
+	Number  uint64 `cbor:"1,keyasint" json:"number"`
+	Service string `cbor:"2,keyasint" json:"service"`
+	Spec    *Spec  `cbor:"3,keyasint,omitempty" json:"spec,omitempty"`
+	Author  string `cbor:"4,keyasint" json:"author"`
+	// Millis is the time of the change in milliseconds since 1970, UTC.
+	Millis int64 `cbor:"5,keyasint" json:"unix_ms"`
+	// Attempt identifies the attempt to store the revision, so that its author recognises it after a lost answer.
+	Attempt string `cbor:"6,keyasint,omitempty" json:"attempt,omitempty"`
+}
+
+// Revision is one accepted change: the definition of one service, or its removal.
+type Revision struct {
+	spec    RevisionSpec // without the definition, which service has
+	service Service
+	defined bool // not a removal
+	// stored is the encoded form and decode its reverse, nil if they are not known. A packed revision has no service.
+	stored []byte
+	decode func([]byte) (RevisionSpec, error)
+	packed bool
+}
+
+// NewRevision returns the revision that spec describes.
+func NewRevision(spec RevisionSpec) Revision {
+	r := Revision{spec: spec}
+	if spec.Spec != nil {
+		r.service, r.defined = New(*spec.Spec), true
+		r.spec.Service, r.spec.Spec = spec.Spec.Name, nil
+	}
+	return r
+}
+
+// Stored returns r with its encoded form, which the caller must not change any more. A Catalog keeps only this form of a
+// revision that is no longer in force: with 40 callers a definition has 6 KB encoded and 16 to 24 KB decoded.
+func (r Revision) Stored(body []byte, decode func([]byte) (RevisionSpec, error)) Revision {
+	r.stored, r.decode = body, decode
+	return r
+}
+
+// Body returns the encoded form, nil if it is not known. The caller must not change it.
+func (r Revision) Body() []byte { return r.stored }
+
+// pack returns r without its definition if that can be decoded again.
+func (r Revision) pack() Revision {
+	if r.stored == nil || r.Removal() {
+		return r
+	}
+	r.service, r.packed = Service{}, true
+	return r
+}
+
+// unpack returns r with its definition, and false if its encoded form is damaged.
+func (r Revision) unpack() (Revision, bool) {
+	if !r.packed {
+		return r, true
+	}
+	spec, err := r.decode(r.stored)
+	if err != nil {
+		return r, false
+	}
+	return NewRevision(spec).Stored(r.stored, r.decode), true
+}
+
+// Put returns a change that defines the service. Its number is assigned when it is accepted.
+func Put(spec Spec, author string, now time.Time) Revision {
+	return NewRevision(RevisionSpec{Service: spec.Name, Spec: &spec, Author: author, Millis: now.UnixMilli()})
+}
+
+// Remove returns a change that removes the service.
+func Remove(service, author string, now time.Time) Revision {
+	return NewRevision(RevisionSpec{Service: service, Author: author, Millis: now.UnixMilli()})
+}
+
+// Spec returns the fields of r, for codecs.
+func (r Revision) Spec() RevisionSpec {
+	spec := r.spec
+	if r.defined {
+		s := r.service.Spec()
+		spec.Spec = &s
+	}
+	return spec
+}
+
+// Number returns the revision's number; the first is 1.
+func (r Revision) Number() uint64 { return r.spec.Number }
+
+// ServiceName returns the name of the service that changed.
+func (r Revision) ServiceName() string { return r.spec.Service }
+
+// Service returns the new definition, and false if the service was removed.
+func (r Revision) Service() (Service, bool) { return r.service, r.defined }
+
+// Removal reports whether the service was removed.
+func (r Revision) Removal() bool { return !r.defined }
+
+// Author returns who made the change.
+func (r Revision) Author() string { return r.spec.Author }
+
+// Time returns when the change was made, by the clock of the VM that accepted it.
+func (r Revision) Time() time.Time { return time.UnixMilli(r.spec.Millis).UTC() }
+
+// Attempt returns the identifier of the attempt that stored the revision.
+func (r Revision) Attempt() string { return r.spec.Attempt }
+
+// Numbered returns r with a number and an attempt identifier.
+func (r Revision) Numbered(number uint64, attempt string) Revision {
+	r.spec.Number, r.spec.Attempt = number, attempt
+	r.stored, r.decode = nil, nil
+	return r
+}
+
+// Unmasked returns r with masked secrets replaced by those of stored.
+func (r Revision) Unmasked(stored Spec) Revision {
+	if r.Removal() {
+		return r
+	}
+	spec := r.Spec()
+	unmasked := spec.Spec.Unmasked(stored)
+	spec.Spec = &unmasked
+	return NewRevision(spec)
+}
+
+// Catalog is the set of services at one revision. It is immutable; the zero Catalog is that before revision 1.
+type Catalog struct {
+	revision uint64
+	services map[string]entry
+	history  []Revision // consecutive; those not in force are packed
+}
+
+type entry struct {
+	service  Service
+	revision uint64
+}
+
+// Apply returns the catalog after r, which must have the next number. A removal of an unknown service changes no
+// service, since a revision that is stored must never stop those after it.
+func (c Catalog) Apply(r Revision) (Catalog, error) {
+	if r.Number() != c.revision+1 {
+		return c, result.New(result.RevisionConflict, "revision %d does not follow revision %d", r.Number(), c.revision)
+	}
+	next := Catalog{revision: r.Number(), services: maps.Clone(c.services)}
+	if next.services == nil {
+		next.services = make(map[string]entry)
+	}
+	if r.defined {
+		r.service = r.service.compact(r.stored, r.decode)
+		next.services[r.ServiceName()] = entry{r.service, r.Number()}
+	} else {
+		delete(next.services, r.ServiceName())
+	}
+	kept := c.history[max(0, len(c.history)+1-HistoryLimit):]
+	next.history = append(slices.Clone(kept), r)
+	if old := c.services[r.ServiceName()].revision; old > 0 && old >= next.history[0].Number() {
+		i := old - next.history[0].Number()
+		next.history[i] = next.history[i].pack()
+	}
+	return next, nil
+}
+
+// Recent returns c with no more than the last n revisions of its history.
+func (c Catalog) Recent(n int) Catalog {
+	c.history = c.history[max(0, len(c.history)-n):]
+	return c
+}
+
+// CatalogSpec has the fields of a Catalog for Restore and for codecs.
+type CatalogSpec struct {
+	Revision uint64           `cbor:"1,keyasint" json:"revision"`
+	Services []CatalogService `cbor:"2,keyasint" json:"services"`
+	History  []RevisionSpec   `cbor:"3,keyasint,omitempty" json:"history,omitempty"`
+}
+
+// CatalogService is a service with the revision that defined it.
+type CatalogService struct {
+	Revision uint64 `cbor:"1,keyasint" json:"revision"`
+	Spec     Spec   `cbor:"2,keyasint" json:"spec"`
+}
+
+// Restore returns the catalog that spec describes, for snapshots. It keeps as much of the history as Apply does.
+func Restore(spec CatalogSpec) Catalog {
+	c := Catalog{revision: spec.Revision, services: make(map[string]entry)}
+	for _, s := range spec.Services {
+		c.services[s.Spec.Name] = entry{New(s.Spec), s.Revision}
+	}
+	for _, r := range spec.History[max(0, len(spec.History)-HistoryLimit):] {
+		c.history = append(c.history, NewRevision(r))
+	}
+	return c
+}
+
+// Packed returns c with the revisions of its history, and the callers of its services, in the encoded form.
+func (c Catalog) Packed(encode func(Revision) (Revision, error)) (Catalog, error) {
+	history := make([]Revision, len(c.history))
+	inForce := map[uint64]Revision{}
+	for i, r := range c.history {
+		stored, err := encode(r)
+		if err != nil {
+			return c, err
+		}
+		history[i] = stored.pack()
+		inForce[r.Number()] = stored
+	}
+	services := make(map[string]entry, len(c.services))
+	for name, e := range c.services {
+		r, ok := inForce[e.revision]
+		if !ok {
+			spec := e.service.Spec()
+			var err error
+			if r, err = encode(NewRevision(RevisionSpec{Number: e.revision, Spec: &spec})); err != nil {
+				return c, err
+			}
+		}
+		services[name] = entry{e.service.compact(r.stored, r.decode), e.revision}
+	}
+	c.history, c.services = history, services
+	return c, nil
+}
+
+// Spec returns the fields of c, for codecs.
+func (c Catalog) Spec() CatalogSpec {
+	spec := CatalogSpec{Revision: c.revision}
+	for _, s := range c.Services() {
+		spec.Services = append(spec.Services, CatalogService{c.services[s.Name()].revision, s.Spec()})
+	}
+	for _, r := range c.History("") {
+		spec.History = append(spec.History, r.Spec())
+	}
+	return spec
+}
+
+// Revision returns the number of the last revision applied.
+func (c Catalog) Revision() uint64 { return c.revision }
+
+// Services returns the services, sorted by name.
+func (c Catalog) Services() []Service {
+	all := make([]Service, 0, len(c.services))
+	for _, e := range c.services {
+		all = append(all, e.service)
+	}
+	slices.SortFunc(all, func(a, b Service) int { return strings.Compare(a.Name(), b.Name()) })
+	return all
+}
+
+// Service returns the service of this name.
+func (c Catalog) Service(name string) (Service, bool) {
+	e, ok := c.services[name]
+	return e.service, ok
+}
+
+// ServiceRevision returns the number of the revision that defined the service, 0 if it does not exist.
+func (c Catalog) ServiceRevision(name string) uint64 { return c.services[name].revision }
+
+// History returns the last revisions in ascending order, those of one service or all if service is "".
+func (c Catalog) History(service string) []Revision {
+	all := make([]Revision, 0)
+	for _, r := range c.history {
+		if service != "" && r.ServiceName() != service {
+			continue
+		}
+		// What the VM has decoded before cannot fail now; a revision without its definition would look like a removal.
+		if whole, ok := r.unpack(); ok {
+			all = append(all, whole)
+		}
+	}
+	return all
+}
+
+// Oldest returns the number of the first revision of the history, 0 if that is empty.
+func (c Catalog) Oldest() uint64 {
+	if len(c.history) == 0 {
+		return 0
+	}
+	return c.history[0].Number()
+}
+
+// Conflicts returns the violations of spec that depend on the other services: a server belongs to one service, since
+// its slots, connections and group are those of one definition.
+func (c Catalog) Conflicts(spec Spec) []Problem {
+	var p problems
+	for i, s := range spec.Servers {
+		for _, other := range c.Services() {
+			if _, ok := other.Server(s.Address); ok && other.Name() != spec.Name {
+				p.add(fmt.Sprintf("servers[%d].address", i), "%s belongs to service %s", s.Address, other.Name())
+			}
+		}
+	}
+	return p
+}
+
+// Check returns every violation of the change r: those of its definition, those against the other services, and the
+// removal of an unknown service.
+func (c Catalog) Check(r Revision) []Problem {
+	s, ok := r.Service()
+	if !ok {
+		if _, known := c.Service(r.ServiceName()); !known {
+			return []Problem{{path: "name", message: fmt.Sprintf("service %q does not exist", r.ServiceName())}}
+		}
+		return nil
+	}
+	return append(Validate(s.Spec()), c.Conflicts(s.Spec())...)
+}
--- /dev/null
+++ b/io/config/check.go
@@ -0,0 +1,231 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"net/netip"
+	"net/url"
+	"os"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/go-playground/validator/v10"
+
+	"verbenagate/io/logs"
+	"verbenagate/io/strict"
+)
+
+// namePattern keeps names usable in keys of the store, in labels of metrics and in log lines.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// rule is a check of one value, with the message of a violation.
+type rule struct {
+	holds   func(text string) bool
+	message string
+}
+
+var rules = map[string]rule{
+	"name": {
+		namePattern.MatchString,
+		"must start with a letter or digit and have at most 63 letters, digits, dots, hyphens or underscores",
+	},
+	"ipport":   {isIPPort, "must be IP:port, such as 10.0.0.1:5432 or [::1]:5432; names are not resolved"},
+	"httpip":   {isHTTPWithIP, "must be an http or https URL with an IP address, such as http://10.0.0.9:8080"},
+	"loglevel": {func(s string) bool { return slices.Contains(logs.LevelNames(), s) }, "must be one of " + levelNames()},
+}
+
+func levelNames() string { return strings.Join(logs.LevelNames(), ", ") }
+
+// isIPPort accepts port 0, with which the system picks a free port.
+func isIPPort(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
+
+func isHTTPWithIP(s string) bool {
+	u, err := url.Parse(s)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.RawQuery != "" || u.Fragment != "" || u.User != nil {
+		return false
+	}
+	_, err = netip.ParseAddr(u.Hostname())
+	return err == nil
+}
+
+var checker = sync.OnceValue(func() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(strict.Key)
+	for name, r := range rules {
+		// Registration fails only for an empty or reserved tag, which TestTableMatchesSettings would show.
+		_ = v.RegisterValidation(name, func(fl validator.FieldLevel) bool { return r.holds(fl.Field().String()) })
+	}
+	return v
+})
+
+// Check decodes the settings in data, fills in the defaults and returns them with every problem, in the order of the
+// lines. The name of the file stands in the problems.
+func Check(file string, data []byte) (Settings, []strict.Problem) {
+	s := Default()
+	doc := strict.Decode(file, data, &s)
+	if doc.Broken() {
+		return s, doc.Problems()
+	}
+	var found validator.ValidationErrors
+	if err := checker().Struct(s); errors.As(err, &found) {
+		for _, e := range found {
+			// A value that could not be decoded has its problem already.
+			if path := pathOf(e); !doc.HasProblem(path) {
+				doc.Add(path, message(e))
+			}
+		}
+	}
+	for _, layer := range slices.Sorted(maps.Keys(s.Log.Layers)) {
+		if err := logs.CheckSwitch(layer, logs.Switch(s.Log.Layers[layer])); err != nil {
+			doc.Add("log.layers."+layer, err.Error())
+		}
+	}
+	checkAddresses(doc, s.Listen)
+	checkSeeds(doc, s.Peers.Seeds)
+	checkFiles(doc, s.TLS)
+	if s.TLS.Callers.Required && s.TLS.Callers.Cert == "" {
+		doc.Add("tls.callers.required", "needs tls.callers.cert and tls.callers.key")
+	}
+	return s, doc.Problems()
+}
+
+// pathOf returns the key path of a violation; its namespace starts with the name of the struct.
+func pathOf(e validator.FieldError) string {
+	_, path, _ := strings.Cut(e.Namespace(), ".")
+	return path
+}
+
+func message(e validator.FieldError) string {
+	if r, ok := rules[e.Tag()]; ok {
+		return fmt.Sprintf("%q %s", e.Value(), r.message)
+	}
+	sibling := func(field string) string {
+		path := pathOf(e)
+		parent := path[:strings.LastIndex(path, ".")]
+		return parent + "." + keyOf(field)
+	}
+	switch e.Tag() {
+	case "required":
+		return "is required"
+	case "required_with":
+		var all []string
+		for _, f := range strings.Fields(e.Param()) {
+			all = append(all, sibling(f))
+		}
+		return "is required together with " + strings.Join(all, " and ")
+	case "gt":
+		return fmt.Sprintf("%v must be more than %s", e.Value(), e.Param())
+	case "gtfield":
+		return fmt.Sprintf("%v must be more than %s", e.Value(), sibling(e.Param()))
+	case "gte":
+		return fmt.Sprintf("%v must be at least %s", e.Value(), e.Param())
+	case "lte":
+		return fmt.Sprintf("%v must be at most %s", e.Value(), e.Param())
+	case "oneof":
+		return fmt.Sprintf("%q must be one of %s", e.Value(), strings.ReplaceAll(e.Param(), " ", ", "))
+	}
+	return "breaks the rule " + e.Tag()
+}
+
+// keyOf returns the key of a struct field that a rule names.
+func keyOf(field string) string {
+	for _, t := range []reflect.Type{reflect.TypeFor[Timing](), reflect.TypeFor[PeerTLS](), reflect.TypeFor[CallerTLS]()} {
+		if f, ok := t.FieldByName(field); ok {
+			return strict.Key(f)
+		}
+	}
+	return field
+}
+
+// checkAddresses refuses two listeners on one address, and an address for other VMs that they cannot dial.
+func checkAddresses(doc *strict.Doc, l Listen) {
+	at := make(map[netip.AddrPort]string)
+	for _, v := range []struct{ path, address string }{
+		{"listen.callers", l.Callers},
+		{"listen.peers", l.Peers},
+		{"listen.operators", l.Operators},
+		{"listen.metrics", l.Metrics},
+	} {
+		addr, err := netip.ParseAddrPort(v.address)
+		if err != nil {
+			continue
+		}
+		if v.path == "listen.peers" && l.PeersAnnounce == "" && addr.Addr().IsUnspecified() {
+			doc.Add(v.path, "must be an address that other VMs can connect to, not "+addr.Addr().String())
+		}
+		if first, ok := at[addr]; ok && addr.Port() != 0 {
+			doc.Add(v.path, "has the same address as "+first)
+		}
+		at[addr] = v.path
+	}
+	checkAnnounced(doc, l, at)
+}
+
+// checkAnnounced refuses an announced address that other VMs cannot dial, or at which callers or operators are served.
+func checkAnnounced(doc *strict.Doc, l Listen, at map[netip.AddrPort]string) {
+	const path = "listen.peers_announce"
+	addr, err := netip.ParseAddrPort(l.PeersAnnounce)
+	if err != nil {
+		return // not set, or reported as no IP:port
+	}
+	if addr.Addr().IsUnspecified() {
+		doc.Add(path, "must be an address that other VMs can connect to, not "+addr.Addr().String())
+	}
+	if addr.Port() == 0 {
+		doc.Add(path, "must have a port other than 0")
+	}
+	if other := at[addr]; other != "" && other != "listen.peers" && addr.Port() != 0 {
+		doc.Add(path, "has the same address as "+other)
+	}
+}
+
+// checkSeeds refuses addresses that cannot be dialled and those that stand there twice.
+func checkSeeds(doc *strict.Doc, seeds []string) {
+	at := make(map[netip.AddrPort]int)
+	for i, s := range seeds {
+		addr, err := netip.ParseAddrPort(s)
+		if err != nil {
+			continue
+		}
+		path := fmt.Sprintf("peers.seeds[%d]", i)
+		if addr.Addr().IsUnspecified() || addr.Port() == 0 {
+			doc.Add(path, "must be an address that can be connected to, not "+s)
+		}
+		if first, ok := at[addr]; ok {
+			doc.Add(path, fmt.Sprintf("is the same as peers.seeds[%d]", first))
+			continue
+		}
+		at[addr] = i
+	}
+}
+
+// checkFiles refuses files that cannot be opened. Their content is read when the VM starts.
+func checkFiles(doc *strict.Doc, t TLS) {
+	for _, v := range []struct{ path, name string }{
+		{"tls.callers.cert", t.Callers.Cert},
+		{"tls.callers.key", t.Callers.Key},
+		{"tls.peers.cert", t.Peers.Cert},
+		{"tls.peers.key", t.Peers.Key},
+		{"tls.peers.ca", t.Peers.CA},
+		{"tls.operators.cert", t.Operators.Cert},
+		{"tls.operators.key", t.Operators.Key},
+		{"tls.operators.ca", t.Operators.CA},
+	} {
+		if v.name == "" {
+			continue
+		}
+		f, err := os.Open(v.name)
+		if err != nil {
+			doc.Add(v.path, err.Error())
+			continue
+		}
+		_ = f.Close() // opened for reading only
+	}
+}
--- /dev/null
+++ b/io/endpt/commits.go
@@ -0,0 +1,67 @@
+package endpt
+
+import (
+	"context"
+	"time"
+
+	"verbenagate/core/point"
+)
+
+// answersWait bounds the wait for the answers to commits that the server has carried out already.
+const answersWait = 5 * time.Millisecond
+
+func (s *Server) noteCommits(caller string, commits []point.Point) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Now()
+	for _, p := range commits {
+		s.commits.Note(now, caller, p)
+	}
+	s.signalNoted()
+}
+
+// signalNoted wakes those who wait for a commit. The caller holds mu.
+func (s *Server) signalNoted() {
+	if s.noted != nil {
+		close(s.noted)
+		s.noted = nil
+	}
+}
+
+// Required returns for each caller a point that covers all its commits which were acknowledged before the server was asked
+// for its status, as commit.Tracker does. Newest is the position in that status, confirmed as a barrier.
+func (s *Server) Required(ctx context.Context, callers []string, newest point.Point) []point.Point {
+	s.awaitAnswers(ctx, newest)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	required := make([]point.Point, len(callers))
+	for i, c := range callers {
+		required[i] = s.commits.Required(c, newest)
+		s.meter.point(required[i].Covers(newest))
+	}
+	return required
+}
+
+// awaitAnswers waits a moment for the answer to the commit at newest if a unit of this VM may have made it. Until that is
+// known, it counts as a commit of any caller.
+func (s *Server) awaitAnswers(ctx context.Context, newest point.Point) {
+	ctx, cancel := context.WithTimeout(ctx, answersWait)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		if s.commits.Complete(newest) || s.writing == 0 {
+			s.mu.Unlock()
+			return
+		}
+		if s.noted == nil {
+			s.noted = make(chan struct{})
+		}
+		noted := s.noted
+		s.mu.Unlock()
+		select {
+		case <-noted:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/io/endpt/state.go
@@ -0,0 +1,67 @@
+package endpt
+
+import (
+	"fmt"
+	"time"
+
+	"verbenagate/core/sched"
+)
+
+// stateTimes is how many service times a state dump lists.
+const stateTimes = 20
+
+// State describes a Server for the state dump and for metrics.
+type State struct {
+	Address     string        `json:"address"`
+	Queued      int           `json:"queued"`
+	Short       int           `json:"running_short"`
+	Long        int           `json:"running_long"`
+	Slots       int           `json:"slots"`
+	Open        int           `json:"connections"`
+	Idle        int           `json:"connections_idle"`
+	Pending     int           `json:"connections_pending"`
+	Held        int           `json:"connections_held"`
+	Fails       int           `json:"connect_failures"`
+	Draining    bool          `json:"draining,omitempty"`
+	Threshold   time.Duration `json:"long_threshold"`
+	MaxWait     time.Duration `json:"max_wait"`
+	ShortCounts ClassState    `json:"short"`
+	LongCounts  ClassState    `json:"long"`
+	Times       []TimeState   `json:"service_times"`
+}
+
+// ClassState has the counters of one class of work.
+type ClassState struct {
+	Submitted uint64        `json:"submitted"`
+	Started   uint64        `json:"started"`
+	Done      uint64        `json:"done"`
+	Shed      uint64        `json:"shed"`
+	Waited    time.Duration `json:"waited"`
+}
+
+// TimeState is the service time of one fingerprint.
+type TimeState struct {
+	Fingerprint string        `json:"fingerprint"`
+	Estimate    time.Duration `json:"estimate"`
+}
+
+// State returns the present state.
+func (s *Server) State() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	short, long := s.queue.Active()
+	st := State{
+		Address: s.Address(), Queued: s.queue.Len(), Short: short, Long: long, Slots: s.queue.Slots(), Open: s.open,
+		Idle: len(s.idle), Pending: s.pending, Held: s.held, Fails: s.fails, Draining: s.draining,
+		Threshold: s.queue.Threshold(), MaxWait: s.maxWait,
+		ShortCounts: classState(s.queue.Counters(sched.Short)), LongCounts: classState(s.queue.Counters(sched.Long)),
+	}
+	for _, t := range s.queue.Times(stateTimes) {
+		st.Times = append(st.Times, TimeState{fmt.Sprintf("%016x", t.Fingerprint()), t.Estimate()})
+	}
+	return st
+}
+
+func classState(c sched.Counters) ClassState {
+	return ClassState{Submitted: c.Submitted, Started: c.Started, Done: c.Done, Shed: c.Shed, Waited: c.Waited}
+}
--- /dev/null
+++ b/io/revlog/codec.go
@@ -0,0 +1,96 @@
+package revlog
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"verbenagate/core/result"
+	"verbenagate/core/svcdef"
+)
+
+// maxElements bounds lists and maps in decoded data, so that a damaged length cannot exhaust the memory.
+const maxElements = 1 << 17
+
+var modes = sync.OnceValue(func() (m struct {
+	enc cbor.EncMode
+	dec cbor.DecMode
+},
+) {
+	// The options are constant and valid; TestCodec would fail with a nil mode.
+	m.enc, _ = cbor.CoreDetEncOptions().EncMode()
+	m.dec, _ = cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden,
+		MaxArrayElements: maxElements, MaxMapPairs: maxElements,
+	}.DecMode()
+	return m
+})
+
+// Encode returns the stored form of a revision. The caller must not change it.
+func Encode(r svcdef.Revision) ([]byte, error) {
+	if body := r.Body(); body != nil {
+		return body, nil
+	}
+	return encode(r.Spec())
+}
+
+// Decode reads what Encode wrote. The revision keeps data.
+func Decode(data []byte) (svcdef.Revision, error) {
+	spec, err := decodeSpec(data)
+	if err != nil {
+		return svcdef.Revision{}, err
+	}
+	return svcdef.NewRevision(spec).Stored(data, decodeSpec), nil
+}
+
+func decodeSpec(data []byte) (svcdef.RevisionSpec, error) {
+	var spec svcdef.RevisionSpec
+	err := decode(data, &spec)
+	return spec, err
+}
+
+// EncodeSnapshot returns a catalogue with a SHA-256 checksum in front.
+func EncodeSnapshot(c svcdef.Catalog) ([]byte, error) {
+	body, err := encode(c.Spec())
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256(body)
+	return append(sum[:], body...), nil
+}
+
+// DecodeSnapshot reads what EncodeSnapshot wrote, and refuses damaged data.
+func DecodeSnapshot(data []byte) (svcdef.Catalog, error) {
+	if len(data) < sha256.Size {
+		return svcdef.Catalog{}, result.New(result.Internal, "snapshot of %d bytes is too short", len(data))
+	}
+	body := data[sha256.Size:]
+	if sum := sha256.Sum256(body); subtle.ConstantTimeCompare(sum[:], data[:sha256.Size]) != 1 {
+		return svcdef.Catalog{}, result.New(result.Internal, "checksum of the snapshot does not match")
+	}
+	var spec svcdef.CatalogSpec
+	if err := decode(body, &spec); err != nil {
+		return svcdef.Catalog{}, err
+	}
+	return svcdef.Restore(spec).Packed(func(r svcdef.Revision) (svcdef.Revision, error) {
+		stored, err := Encode(r)
+		return r.Stored(stored, decodeSpec), err
+	})
+}
+
+func encode(v any) ([]byte, error) {
+	data, err := modes().enc.Marshal(v)
+	if err != nil {
+		return nil, result.Wrap(result.Internal, err, "encode")
+	}
+	return data, nil
+}
+
+func decode(data []byte, v any) error {
+	if err := modes().dec.Unmarshal(data, v); err != nil {
+		return result.Wrap(result.Internal, err, "decode %d bytes", len(data))
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/child/child_test.go
@@ -0,0 +1,25 @@
+package child
+
+import (
+	"errors"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// Guards against an end of a process that nobody notices, and against a wrong reason for it.
+func TestEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p, err := Start(exec.Command("sleep", "60"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(p.Ended()).NotTo(gomega.BeClosed())
+	g.Expect(p.Cmd().Process.Signal(syscall.SIGKILL)).To(gomega.Succeed())
+	g.Eventually(p.Ended()).WithTimeout(10 * time.Second).Should(gomega.BeClosed())
+	var exit *exec.ExitError
+	g.Expect(errors.As(p.Err(), &exit)).To(gomega.BeTrue())
+	_, err = Start(exec.Command("/does/not/exist"))
+	g.Expect(err).To(gomega.HaveOccurred())
+}
--- /dev/null
+++ b/lab/server/savepoint.go
@@ -0,0 +1,78 @@
+package server
+
+import (
+	"context"
+	"strings"
+)
+
+func rollbackTo(toks []token) (string, bool) {
+	for i, t := range toks[1:] {
+		if t.is("to") {
+			return strings.ToLower(toks[len(toks)-1].text), i+2 < len(toks)
+		}
+	}
+	return "", false
+}
+
+// savepoint sets or releases a savepoint. On a server that cannot write it has no effect.
+func (c *session) savepoint(ctx context.Context, verb, name string) (*result, error) {
+	if !c.explicit {
+		return nil, newError("25P01", "%s can only be used in transaction blocks", strings.ToUpper(verb))
+	}
+	if c.tx == nil && c.snapshot == nil && !c.readOnly && verb == "savepoint" {
+		tx, err := c.srv.beginWrite(ctx, true)
+		if err != nil && asSQLError(err).state != "25006" {
+			return nil, err
+		}
+		c.tx = tx
+	}
+	if verb == "savepoint" {
+		n := 0
+		if c.tx != nil {
+			n = len(c.tx.stmts)
+		}
+		c.savepoints = append(c.savepoints, savepoint{name: name, n: n})
+		return &result{tag: "SAVEPOINT"}, c.execSavepoint(ctx, "SAVEPOINT", name)
+	}
+	i := c.findSavepoint(name)
+	if i < 0 {
+		return nil, newError("3B001", "savepoint %q does not exist", name)
+	}
+	c.savepoints = c.savepoints[:i]
+	return &result{tag: "RELEASE"}, c.execSavepoint(ctx, "RELEASE", name)
+}
+
+func (c *session) findSavepoint(name string) int {
+	for i := len(c.savepoints) - 1; i >= 0; i-- {
+		if c.savepoints[i].name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (c *session) execSavepoint(ctx context.Context, verb, name string) error {
+	if c.tx == nil {
+		return nil
+	}
+	return c.inWrite(ctx, func(ctx context.Context, q querier) error {
+		_, err := q.ExecContext(ctx, verb+` "`+strings.Trim(name, `"`)+`"`)
+		return err
+	})
+}
+
+func (c *session) rollbackTo(ctx context.Context, name string) error {
+	i := c.findSavepoint(name)
+	if i < 0 {
+		return newError("3B001", "savepoint %q does not exist", name)
+	}
+	if err := c.execSavepoint(ctx, "ROLLBACK TO", name); err != nil {
+		return err
+	}
+	if c.tx != nil {
+		c.tx.stmts = c.tx.stmts[:c.savepoints[i].n]
+	}
+	c.savepoints = c.savepoints[:i+1]
+	c.failed = false
+	return nil
+}
