lab/server: end the terminated sessions together

The stand-in ended the sessions one after the other, so the first one's rollback let the second one write before its turn came; and a statement that was received before the end and began after it found no cancel function and ran. Change: the end of a session ends its context, from which each statement derives, and all sessions of one statement end under the server's lock, which a writer needs before it begins. TestTerminatedSessionBeginsNoStatement failed before and passes now. Ruled out: a fault of the proxy; the test speaks to the stand-in directly. Conclusion: the stand-in's race, not a broken promise. PostgreSQL itself signals one backend after the other; no rule of the proxy depends on that order.

--- a/lab/server/activity.go
+++ b/lab/server/activity.go
@@ -25,33 +25,27 @@
 func (c *session) terminate(toks []token) *result {
 	application := strings.Trim(toks[len(toks)-1].text, "'")
 	res := &result{cols: []column{{name: "pg_terminate_backend", typ: pgtype.BoolOID}}}
-	for _, s := range c.srv.of(application) {
-		s.end()
+	for range c.srv.terminate(application) {
 		res.rows = append(res.rows, []any{true})
 	}
 	res.tag = "SELECT " + strconv.Itoa(len(res.rows))
 	return res
 }
 
-// of returns the sessions of an application.
-func (s *Server) of(application string) []*session {
+// terminate breaks off what the sessions of an application run, closes their connections and returns them. What they sent and
+// has not begun does not run: the sessions end together, so that none of them gets a lock that another one releases.
+func (s *Server) terminate(application string) []*session {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	var list []*session
 	for _, c := range s.sessions {
 		if c.application == application {
+			c.stop()
 			list = append(list, c)
 		}
 	}
-	return list
-}
-
-// end breaks off the running statement and closes the connection.
-func (c *session) end() {
-	_ = c.conn.Close()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.cancel != nil {
-		c.cancel()
+	s.mu.Unlock()
+	for _, c := range list {
+		_ = c.conn.Close()
 	}
+	return list
 }
--- a/lab/server/session.go
+++ b/lab/server/session.go
@@ -38,7 +38,8 @@
 // session is one client connection.
 type session struct {
 	srv    *Server
-	run    *run
+	ctx    context.Context // until the session is terminated or the server stops
+	stop   context.CancelFunc
 	conn   net.Conn
 	be     *pgproto3.Backend
 	pid    uint32
@@ -115,8 +116,10 @@
 }
 
 func (s *Server) serveClient(r *run, conn net.Conn, be *pgproto3.Backend, m *pgproto3.StartupMessage) {
+	ctx, stop := context.WithCancel(r.ctx)
+	defer stop()
 	c := &session{
-		srv: s, run: r, conn: conn, be: be, types: pgtype.NewMap(), settings: defaultSettings(), local: map[string]string{},
+		srv: s, ctx: ctx, stop: stop, conn: conn, be: be, types: pgtype.NewMap(), settings: defaultSettings(), local: map[string]string{},
 		prepared: map[string]*prepared{}, portals: map[string]*portal{}, secret: make([]byte, 4), user: m.Parameters["user"],
 	}
 	_, _ = rand.Read(c.secret)
@@ -134,7 +137,7 @@
 		c.endTransaction()
 		s.set(func() { delete(s.sessions, c.pid) })
 	}()
-	pause(r.ctx, s.cfg.OpenDelay)
+	pause(ctx, s.cfg.OpenDelay)
 	if err := c.authenticate(); err != nil {
 		var own *sqlError
 		if errors.As(err, &own) {
@@ -152,7 +155,7 @@
 	}
 	for {
 		msg, err := be.Receive()
-		if err != nil || s.awake(r.ctx) != nil || !c.handle(msg) {
+		if err != nil || s.awake(ctx) != nil || !c.handle(msg) {
 			return
 		}
 	}
@@ -184,7 +187,7 @@
 
 // flush sends what is buffered, unless the server is frozen.
 func (c *session) flush() error {
-	if err := c.srv.awake(c.run.ctx); err != nil {
+	if err := c.srv.awake(c.ctx); err != nil {
 		return err
 	}
 	return c.be.Flush()
@@ -298,7 +301,7 @@
 		c.fail(err)
 		c.skip = true
 	}
-	return c.run.ctx.Err() == nil
+	return c.ctx.Err() == nil
 }
 
 func (c *session) status() byte {
@@ -331,9 +334,9 @@
 	}
 }
 
-// statement returns a context that a cancel request ends, for the duration of one statement.
+// statement returns a context that a cancel request or the end of the session ends, for the duration of one statement.
 func (c *session) statement() (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(c.run.ctx)
+	ctx, cancel := context.WithCancel(c.ctx)
 	c.mu.Lock()
 	c.cancel = cancel
 	c.mu.Unlock()
@@ -385,7 +388,7 @@
 	c.tx = nil
 	var p point.Point
 	if tx != nil {
-		if err := c.srv.awake(c.run.ctx); err != nil {
+		if err := c.srv.awake(c.ctx); err != nil {
 			c.tx = tx
 			return err
 		}
