core/svcdef: share the revisions of a catalog's history

The profile showed Catalog.Apply: each change copied the history of 512 revisions by value twice, in slices.Clone and in the append behind it (164 KB a change). Change: the history holds pointers to revisions, which are immutable, and is allocated once with its final length.

--- a/core/svcdef/catalog.go
+++ b/core/svcdef/catalog.go
@@ -141,7 +141,8 @@
 type Catalog struct {
 	revision uint64
 	services map[string]entry
-	history  []Revision // consecutive; those not in force are packed
+	// history is consecutive; revisions not in force are packed. Catalogs share the revisions, which nobody changes.
+	history []*Revision
 }
 
 type entry struct {
@@ -166,10 +167,12 @@
 		delete(next.services, r.ServiceName())
 	}
 	kept := c.history[max(0, len(c.history)+1-HistoryLimit):]
-	next.history = append(slices.Clone(kept), r)
+	next.history = make([]*Revision, len(kept)+1)
+	next.history[copy(next.history, kept)] = &r
 	if old := c.services[r.ServiceName()].revision; old > 0 && old >= next.history[0].Number() {
 		i := old - next.history[0].Number()
-		next.history[i] = next.history[i].pack()
+		packed := next.history[i].pack()
+		next.history[i] = &packed
 	}
 	return next, nil
 }
@@ -200,21 +203,23 @@
 		c.services[s.Spec.Name] = entry{New(s.Spec), s.Revision}
 	}
 	for _, r := range spec.History[max(0, len(spec.History)-HistoryLimit):] {
-		c.history = append(c.history, NewRevision(r))
+		rev := NewRevision(r)
+		c.history = append(c.history, &rev)
 	}
 	return c
 }
 
 // Packed returns c with the revisions of its history, and the callers of its services, in the encoded form.
 func (c Catalog) Packed(encode func(Revision) (Revision, error)) (Catalog, error) {
-	history := make([]Revision, len(c.history))
+	history := make([]*Revision, len(c.history))
 	inForce := map[uint64]Revision{}
 	for i, r := range c.history {
-		stored, err := encode(r)
+		stored, err := encode(*r)
 		if err != nil {
 			return c, err
 		}
-		history[i] = stored.pack()
+		packed := stored.pack()
+		history[i] = &packed
 		inForce[r.Number()] = stored
 	}
 	services := make(map[string]entry, len(c.services))
--- a/core/svcdef/svcdef_test.go
+++ b/core/svcdef/svcdef_test.go
@@ -205,3 +205,22 @@
 	g.Expect(c.History("")[0].Number()).To(Equal(uint64(6)))
 	g.Expect(c.History("maps")).To(BeEmpty())
 }
+
+// BenchmarkApply gives the cost of one change to a catalog with a full history.
+func BenchmarkApply(b *testing.B) {
+	var c svcdef.Catalog
+	var err error
+	change := svcdef.Put(plots(), "ann", noon)
+	for n := range uint64(svcdef.HistoryLimit) {
+		if c, err = c.Apply(change.Numbered(n+1, "")); err != nil {
+			b.Fatal(err)
+		}
+	}
+	next := change.Numbered(svcdef.HistoryLimit+1, "")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := c.Apply(next); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
