lab/suite: run the tests of KNOWN-RED.txt apart from those that decide

Change: the task test reads KNOWN-RED.txt, runs the other tests with the race detector, then the listed ones in processes of their own, prints these and passes over just them. An entry without command or seed, a name that matches no test, and a failure beside a listed test fail the run.

--- a/_scripts/make.go
+++ b/_scripts/make.go
@@ -2,11 +2,18 @@
 package main
 
 import (
+	"context"
+	"errors"
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"time"
+
+	"verbenagate/lab/suite"
 )
 
 // Pinned versions of the tools; "tools" installs them through the module proxy.
@@ -22,34 +29,57 @@
 	"google.golang.org/grpc/cmd/protoc-gen-go-grpc@v1.6.2",
 }
 
-// fuzzTime bounds each fuzz target in CI.
-const fuzzTime = "3s"
+// knownRed lists the tests whose failure does not fail the task test.
+const knownRed = "KNOWN-RED.txt"
+
+// testTimeout bounds the tests of one package, so that one that hangs is reported while CI still runs.
+const testTimeout = "4m"
+
+// fuzzRuns bounds each fuzz target. A bound in seconds makes go test fail now and then when the time ends during a run.
+const fuzzRuns = "20000x"
 
 type task struct {
 	name string
 	help string
-	run  func() error
+	run  func(ctx context.Context, args []string) error
 }
 
 func tasks() []task {
 	return []task{
-		{"tools", "install the formatter and the linter", func() error { return install(tools) }},
-		{"generators", "install the code generators", func() error { return install(generators) }},
-		{"format", "fail if a file is not formatted", format},
-		{"lint", "run go vet and revive", lint},
-		{"test", "run all tests", func() error { return run("go", "test", "./...") }},
-		{"race", "run all tests with the race detector", func() error { return run("go", "test", "-race", "./...") }},
-		{"fuzz", "run each fuzz target for a short time", fuzz},
-		{"generate", "write generated code and documents", generate},
-		{"current", "fail if generated code is not current, where its generator is installed", current},
+		{"tools", "install the formatter and the linter", plain(func() error { return install(tools) })},
+		{"generators", "install the code generators", plain(func() error { return install(generators) })},
+		{"format", "fail if a file is not formatted", plain(format)},
+		{"lint", "run go vet and revive", plain(lint)},
+		{"test", "run all tests, those of " + knownRed + " without the race detector and without a say", test("-race")},
+		{"quick", "run all tests without the race detector", test()},
+		{"race", "run all tests with the race detector, also those of " + knownRed, plain(func() error {
+			return run("go", "test", "-race", "-count=1", "./...")
+		})},
+		{"soak", "play randomised runs: [-seed N] [-minutes M] [-race]", soak},
+		{"steady", "run tests repeatedly, every second time beside load: [-runs N] [-- ARGUMENTS of go test]", steady},
+		{"fuzz", "run each fuzz target for a short time", plain(fuzz)},
+		{"generate", "write generated code and documents", plain(generate)},
+		{"current", "fail if generated code is not current, where its generator is installed", plain(current)},
+	}
+}
+
+// plain is a task without arguments.
+func plain(run func() error) func(context.Context, []string) error {
+	return func(_ context.Context, args []string) error {
+		if len(args) > 0 {
+			return fmt.Errorf("unexpected argument %q", args[0])
+		}
+		return run()
 	}
 }
 
 func main() {
-	if len(os.Args) == 2 {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if len(os.Args) >= 2 {
 		for _, t := range tasks() {
 			if t.name == os.Args[1] {
-				if err := t.run(); err != nil {
+				if err := t.run(ctx, os.Args[2:]); err != nil {
 					fmt.Fprintf(os.Stderr, "make %s: %v\n", t.name, err)
 					os.Exit(1)
 				}
@@ -64,6 +94,47 @@
 	os.Exit(2)
 }
 
+// test returns the task that runs all tests. The flags of go test are those of the tests that decide.
+func test(deciding ...string) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		if len(args) > 0 {
+			return fmt.Errorf("unexpected argument %q", args[0])
+		}
+		return suite.Run(ctx, suite.Options{
+			Dir: ".", List: knownRed, Args: []string{"-count=1", "-timeout", testTimeout}, Deciding: deciding, Out: os.Stdout,
+		})
+	}
+}
+
+func soak(ctx context.Context, args []string) error {
+	now := time.Now()
+	fs := flag.NewFlagSet("soak", flag.ExitOnError)
+	seed := fs.Uint64("seed", uint64(now.Unix()), "first seed")
+	minutes := fs.Float64("minutes", 5, "time in minutes after which no further seed begins")
+	race := fs.Bool("race", false, "use the race detector")
+	if err := fs.Parse(args); err != nil {
+		return err
+	}
+	var flags []string
+	if *race {
+		flags = append(flags, "-race")
+	}
+	length := time.Duration(*minutes * float64(time.Minute))
+	return suite.Soak(ctx, suite.SoakOptions{Dir: ".", Seed: *seed, Length: length, Args: flags, Out: os.Stdout}, now)
+}
+
+func steady(ctx context.Context, args []string) error {
+	fs := flag.NewFlagSet("steady", flag.ExitOnError)
+	runs := fs.Int("runs", 20, "number of runs")
+	if err := fs.Parse(args); err != nil {
+		return err
+	}
+	if args = fs.Args(); len(args) == 0 {
+		args = []string{"-race", "./..."}
+	}
+	return suite.Steady(ctx, suite.SteadyOptions{Dir: ".", Runs: *runs, Args: args, Out: os.Stdout}, time.Now())
+}
+
 func command(name string, args ...string) *exec.Cmd {
 	cmd := exec.Command(name, args...)
 	cmd.Stderr = os.Stderr
@@ -156,12 +227,13 @@
 	return run("revive", "-config", "revive.toml", "-set_exit_status", "-exclude", "./io/admin/gen/...", "./...")
 }
 
-// fuzz finds the fuzz targets by listing them in each package.
+// fuzz runs all fuzz targets and prints the inputs that failed.
 func fuzz() error {
 	out, err := output("git", "grep", "-l", "^func Fuzz", "--", "*_test.go")
 	if err != nil && out != "" {
 		return err
 	}
+	var errs []error
 	for _, f := range strings.Fields(out) {
 		names, err := output("git", "grep", "-ho", "^func Fuzz[A-Za-z0-9]*", "--", f)
 		if err != nil {
@@ -170,12 +242,30 @@
 		for _, n := range strings.Split(names, "\n") {
 			name := strings.TrimPrefix(n, "func ")
 			dir := "./" + filepath.Dir(f)
-			if err := run("go", "test", "-run", "^$", "-fuzz", "^"+name+"$", "-fuzztime", fuzzTime, dir); err != nil {
-				return err
+			if err := run("go", "test", "-run", "^$", "-fuzz", "^"+name+"$", "-fuzztime", fuzzRuns, dir); err != nil {
+				errs = append(errs, fmt.Errorf("%s in %s: %w", name, dir, err))
 			}
 		}
 	}
-	return nil
+	if len(errs) > 0 {
+		printFailedInputs()
+	}
+	return errors.Join(errs...)
+}
+
+// printFailedInputs prints the files that go test wrote for the inputs that failed, since those of CI are not kept.
+func printFailedInputs() {
+	out, err := output("git", "ls-files", "--others", "--exclude-standard", "--", "*/testdata/fuzz/*")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "list the failed inputs:", err)
+	}
+	for _, f := range strings.Fields(out) {
+		body, err := os.ReadFile(f)
+		fmt.Printf("%s:\n%s", f, body)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}
 }
 
 func generate() error { return run("go", "generate", "./...") }
