io/peer: let TestLateAnswerIsDropped cancel a unit that the owner has

It was withdrawn and reported as not run, which is true and allowed; 402 is expected only once the owner has the unit. Change: the test waits for the start of the owner's function; what it expects is as before, with the check of busy kept. Ruled out: a lost or doubled unit; the owner's function had not been called.

--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -171,8 +171,9 @@
 // Guards against an answer that reaches the wrong unit, or a stream that is closed.
 func TestLateAnswerIsDropped(t *testing.T) {
 	g := gomega.NewWithT(t)
-	release := make(chan struct{})
+	begun, release := make(chan struct{}), make(chan struct{})
 	a, _ := pair(t, newOwner(func(_ context.Context, _ work.Unit, sink work.Sink) work.Final {
+		close(begun)
 		<-release
 		_ = sink([]byte("late"))
 		return okFinal
@@ -184,7 +185,9 @@
 	go func() {
 		done <- s.Run(ctx, work.Unit{Class: stmt.Write}, func([]byte) error { called = true; return nil })
 	}()
-	g.Eventually(a.current("b").busy).Should(gomega.BeTrue())
+	// Before the owner has the unit, its cancellation withdraws it, and the outcome is "not run".
+	g.Eventually(begun).Should(gomega.BeClosed())
+	g.Expect(a.current("b").busy()).To(gomega.BeTrue())
 	// The owner's answer waits for room in the window of this test: a stream with the same id but another number.
 	conn := a.current("b")
 	g.Expect(conn.answer(Answer{Stream: 1 << 60, Frames: []byte("x")})).To(gomega.Succeed())
