platform: serve the users' platform with a process of its own

Cause: nothing of the project ran on the users' platform, whose callers and servers speak a line protocol and whose store is the only place that lasts. A change of primary waits until each VM has confirmed it in the store or its lease has ended.

--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -8,9 +8,12 @@
 	KeysLoaded        ID = 103
 	KeysRefused       ID = 104
 	FilesLimit        ID = 105
+	LinesDropped      ID = 106
+	SettingsRead      ID = 107
 	CallerRefused     ID = 200
 	CallerProtocol    ID = 201
 	CallerClosed      ID = 202
+	StatementDone     ID = 203
 	RouteRetry        ID = 300
 	RouteNoBarrier    ID = 301
 	EndptDown         ID = 400
@@ -19,6 +22,9 @@
 	EndptLeaving      ID = 403
 	EndptEvicted      ID = 404
 	EndptNotEvicted   ID = 405
+	ServerSeen        ID = 406
+	ServerGone        ID = 407
+	ServerRefused     ID = 408
 	PeerConnected     ID = 500
 	PeerLost          ID = 501
 	PeerBadMessage    ID = 502
@@ -33,6 +39,10 @@
 	PromotionDone     ID = 702
 	PromotionFailed   ID = 703
 	TermReserved      ID = 704
+	LeaderChanged     ID = 705
+	LeaseRenewed      ID = 706
+	LeaseLost         ID = 707
+	LeadersKnown      ID = 708
 	ConfigApplied     ID = 800
 	ConfigOlder       ID = 801
 	ConfigRefused     ID = 802
@@ -53,9 +63,12 @@
 	{KeysLoaded, LayerNode, "certificate files loaded again", "None."},
 	{KeysRefused, LayerNode, "changed certificate files not loaded", "Replace the files by a certificate and its own key; the old ones are in use."},
 	{FilesLimit, LayerNode, "limit of open files lowers the limit of callers", "Raise the process's limit of open files, or lower limits.callers."},
+	{LinesDropped, LayerNode, "log lines dropped", "Read the counter of events; lines are left out while more are logged than standard output takes."},
+	{SettingsRead, LayerNode, "settings file checked again", "Correct the errors, if any; changes are in force after a restart."},
 	{CallerRefused, LayerCaller, "caller refused", "Check the caller's user, password and service if it should have access."},
 	{CallerProtocol, LayerCaller, "caller broke the protocol", "Find the client; the connection was closed and others are not affected."},
 	{CallerClosed, LayerCaller, "caller connection closed", "None."},
+	{StatementDone, LayerCaller, "statement ended", "Look up the result code; the fields say which server ran it and for how long."},
 	{RouteRetry, LayerRoute, "unit of work retried", "None, unless the rate is high; then look at the servers it names."},
 	{RouteNoBarrier, LayerRoute, "no barrier for a new session", "Check which servers of the group can be reached from this data centre."},
 	{EndptDown, LayerEndpt, "server unreachable", "Check the server and the network between it and this VM."},
@@ -64,6 +77,9 @@
 	{EndptLeaving, LayerEndpt, "server is leaving", "None; new work goes elsewhere."},
 	{EndptEvicted, LayerEndpt, "connections of dead VM ended", "None; if the VM lives and only its links to other VMs are cut, its callers saw requests fail once."},
 	{EndptNotEvicted, LayerEndpt, "connections of dead VM not ended", "Let the account of the VMs end its own sessions on the server (pg_terminate_backend); until then they hold their locks."},
+	{ServerSeen, LayerEndpt, "server registered or changed", "None."},
+	{ServerGone, LayerEndpt, "server removed from the register", "Check the server if it was not stopped on purpose."},
+	{ServerRefused, LayerEndpt, "entry of the register cannot be used", "Find the program that wrote the entry; the other servers are not affected."},
 	{PeerConnected, LayerPeer, "connected to VM", "None."},
 	{PeerLost, LayerPeer, "connection to VM lost", "Check the VM if it was not stopped on purpose."},
 	{PeerBadMessage, LayerPeer, "message from VM refused", "Check that both VMs run compatible versions."},
@@ -78,6 +94,10 @@
 	{PromotionDone, LayerFailov, "promotion done", "Find out why the old primary failed."},
 	{PromotionFailed, LayerFailov, "promotion failed", "It is tried again; check the store and the servers it names."},
 	{TermReserved, LayerFailov, "term reserved", "None."},
+	{LeaderChanged, LayerFailov, "record of a primary changed", "None."},
+	{LeaseRenewed, LayerFailov, "lease on the primaries' records obtained", "None."},
+	{LeaseLost, LayerFailov, "lease on the primaries' records ended", "Check the path to the platform's store; work that needs a primary is refused until the lease is renewed."},
+	{LeadersKnown, LayerFailov, "servers asked before a promotion", "None."},
 	{ConfigApplied, LayerConfig, "configuration revision in force", "None."},
 	{ConfigOlder, LayerConfig, "store holds an older configuration", "Find out why the store went back; the VMs keep the newer one."},
 	{ConfigRefused, LayerConfig, "configuration change refused", "Correct the errors listed, or base the change on the current revision."},
--- /dev/null
+++ b/io/edge/settings.go
@@ -0,0 +1,122 @@
+// Package edge is one VM of the line protocol: it assembles the parts, serves the VM's readiness, metrics and state, and
+// stops gracefully.
+package edge
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"verbenagate/core/result"
+	"verbenagate/io/logs"
+	"verbenagate/io/strict"
+)
+
+// keys are the settings as they stand in the file.
+type keys struct {
+	VM         string `yaml:"vm"`
+	DataCentre string `yaml:"data_centre"`
+	Callers    string `yaml:"callers"`
+	Ready      string `yaml:"ready"`
+	Metrics    string `yaml:"metrics"`
+	Store      string `yaml:"store"`
+	Orders     string `yaml:"orders"`
+	GraceS     int    `yaml:"grace_s"`
+	VMs        int    `yaml:"vms"`
+	Log        struct {
+		Level          string `yaml:"level"`
+		LinesPerSecond int    `yaml:"lines_per_second"`
+	} `yaml:"log"`
+}
+
+// Settings are the settings of a VM.
+type Settings struct{ k keys }
+
+// Defaults of the settings that the file may leave out.
+const (
+	defaultLevel = "info"
+	defaultLines = 400
+	defaultVMs   = 12
+	leastGrace   = 2
+)
+
+// Parse reads a settings file. The error lists every problem with file, line and key.
+func Parse(file string, data []byte) (Settings, error) {
+	k := keys{VMs: defaultVMs}
+	k.Log.Level, k.Log.LinesPerSecond = defaultLevel, defaultLines
+	doc := strict.Decode(file, data, &k)
+	if doc.Broken() {
+		return Settings{}, result.New(result.InvalidConfig, "%s", strict.Text(doc.Problems()))
+	}
+	for path, value := range map[string]string{"vm": k.VM, "data_centre": k.DataCentre} {
+		if value == "" && !doc.HasProblem(path) {
+			doc.Add(path, "must not be empty")
+		}
+	}
+	for path, value := range map[string]string{
+		"callers": k.Callers, "ready": k.Ready, "metrics": k.Metrics, "store": k.Store, "orders": k.Orders,
+	} {
+		if _, _, err := net.SplitHostPort(value); err != nil && !doc.HasProblem(path) {
+			doc.Add(path, fmt.Sprintf("%q is not an address, host:port", value))
+		}
+	}
+	if k.GraceS < leastGrace && !doc.HasProblem("grace_s") {
+		doc.Add("grace_s", fmt.Sprintf("must be at least %d s", leastGrace))
+	}
+	if k.VMs < 1 && !doc.HasProblem("vms") {
+		doc.Add("vms", "must be at least 1")
+	}
+	if k.Log.LinesPerSecond < 1 && !doc.HasProblem("log.lines_per_second") {
+		doc.Add("log.lines_per_second", "must be at least 1")
+	}
+	if err := logs.CheckSwitch("node", logs.Switch(k.Log.Level)); err != nil && !doc.HasProblem("log.level") {
+		doc.Add("log.level", err.Error())
+	}
+	if problems := doc.Problems(); len(problems) > 0 {
+		return Settings{}, result.New(result.InvalidConfig, "%s", strict.Text(problems))
+	}
+	return Settings{k: k}, nil
+}
+
+// Load reads the settings file at path.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, result.Wrap(result.InvalidConfig, err, "settings file")
+	}
+	return Parse(path, data)
+}
+
+// VM returns the name of this VM.
+func (s Settings) VM() string { return s.k.VM }
+
+// DataCentre returns this VM's data centre.
+func (s Settings) DataCentre() string { return s.k.DataCentre }
+
+// Callers returns the address for callers.
+func (s Settings) Callers() string { return s.k.Callers }
+
+// Ready returns the address at which the balancer asks for readiness.
+func (s Settings) Ready() string { return s.k.Ready }
+
+// Metrics returns the address of the metrics and of the state dump.
+func (s Settings) Metrics() string { return s.k.Metrics }
+
+// Store returns the address of the platform's store.
+func (s Settings) Store() string { return s.k.Store }
+
+// Orders returns the address that takes the orders of promotions.
+func (s Settings) Orders() string { return s.k.Orders }
+
+// Grace returns the time that a graceful stop may take.
+func (s Settings) Grace() time.Duration { return time.Duration(s.k.GraceS) * time.Second }
+
+// VMs returns how many VMs share the servers' connections until the list of VMs is read.
+func (s Settings) VMs() int { return s.k.VMs }
+
+// LogLevel returns the level of the log.
+func (s Settings) LogLevel() string { return s.k.Log.Level }
+
+// LogLines returns how many lines a second are logged at most.
+func (s Settings) LogLines() int { return s.k.Log.LinesPerSecond }
--- /dev/null
+++ b/io/elect/elect.go
@@ -0,0 +1,528 @@
+// Package elect keeps the records of the groups' primaries current in the platform's store, holds this VM's lease on them,
+// and replaces a primary that cannot be reached or is leaving. The rules are those of core/lead.
+package elect
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenagate/core/event"
+	"verbenagate/core/lead"
+	"verbenagate/core/point"
+	"verbenagate/core/port"
+	"verbenagate/core/retry"
+	"verbenagate/io/logs"
+	"verbenagate/io/pool"
+	"verbenagate/io/watch"
+)
+
+const (
+	// tick is how often the primaries are judged.
+	tick = 50 * time.Millisecond
+	// probeAfter is how long a primary may go without an answer before it is asked for one.
+	probeAfter = 400 * time.Millisecond
+	// probeLimit is how long a status may take.
+	probeLimit = 600 * time.Millisecond
+	// memberInterval is how often the list of VMs is read while no primary is suspected, suspectInterval while one is.
+	memberInterval  = 5 * time.Second
+	suspectInterval = 250 * time.Millisecond
+	// rankDelay lies between the VMs that may act, so that one of them does.
+	rankDelay = 300 * time.Millisecond
+	// settle is how long transactions on a primary that is to be replaced may go on before this VM confirms the change.
+	settle = 400 * time.Millisecond
+)
+
+// Clock returns the time of a clock that also counts while the process or its VM is suspended.
+type Clock func() time.Time
+
+// groupState is what this VM knows of one group's primary.
+type groupState struct {
+	record    lead.Record
+	seen      time.Time // when this version of the record was first seen
+	serving   uint64    // version of the record that running work relies on; 0 after a change was confirmed
+	watch     lead.Watch
+	probing   bool
+	suspect   bool
+	noticed   time.Time // since when the primary is gone or agreed to be unreachable
+	driving   bool
+	users     int // transactions and statements that use the primary
+	confirmBy time.Time
+}
+
+// Elector is safe for concurrent use.
+type Elector struct {
+	name   string
+	rows   port.Rows
+	orders port.Promoter
+	set    *pool.Set
+	view   func() *watch.View
+	clock  Clock
+	log    logs.Logger
+	renew  chan struct{}
+
+	mu        sync.Mutex
+	groups    map[string]*groupState
+	epoch     uint64
+	known     bool // the records have been read
+	lease     lead.Lease
+	held      bool
+	store     lead.StoreClock
+	own       uint64 // version of this VM's row
+	members   []lead.Member
+	membersAt time.Time
+	changed   chan struct{} // closed and replaced when a record or the lease changes
+	stopping  bool
+}
+
+// New starts the elector of the VM name; it ends with ctx.
+func New(ctx context.Context, name string, rows port.Rows, orders port.Promoter, set *pool.Set, view func() *watch.View,
+	clock Clock, log logs.Logger,
+) *Elector {
+	e := &Elector{
+		name: name, rows: rows, orders: orders, set: set, view: view, clock: clock, log: log,
+		renew: make(chan struct{}, 1), groups: make(map[string]*groupState), changed: make(chan struct{}),
+	}
+	go watch.Follow(ctx, rows, leadTable, clock, (*follower)(e))
+	go func() {
+		for ctx.Err() == nil {
+			e.renewOnce(ctx)
+		}
+	}()
+	go func() {
+		t := time.NewTicker(tick)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+				e.judge(ctx)
+			}
+		}
+	}()
+	go func() {
+		for ctx.Err() == nil {
+			e.readMembers(ctx)
+			e.pause(ctx, e.memberPause())
+		}
+	}()
+	return e
+}
+
+// Use is the right to use a group's primary.
+type Use struct {
+	e       *Elector
+	group   string
+	server  string
+	version uint64
+}
+
+// Server returns the primary's id.
+func (u Use) Server() string { return u.server }
+
+// Version returns the version of the record that names the primary.
+func (u Use) Version() uint64 { return u.version }
+
+// Valid reports whether the server is certainly still the primary: no promotion has taken effect.
+func (u Use) Valid() bool {
+	u.e.mu.Lock()
+	defer u.e.mu.Unlock()
+	g := u.e.groups[u.group]
+	return g != nil && g.serving == u.version && u.e.lease.Holds(u.e.clock())
+}
+
+// End gives the right back.
+func (u Use) End() {
+	u.e.mu.Lock()
+	defer u.e.mu.Unlock()
+	if g := u.e.groups[u.group]; g != nil {
+		g.users--
+	}
+}
+
+// Use returns the right to use the group's primary; false if there is none or this VM cannot know. End must follow.
+func (e *Elector) Use(group string) (Use, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g := e.groups[group]
+	if g == nil || g.record.Phase() != lead.Stable || g.serving == 0 || !e.lease.Holds(e.clock()) {
+		return Use{}, false
+	}
+	g.users++
+	return Use{e: e, group: group, server: g.record.Server(), version: g.serving}, true
+}
+
+// Version returns the version of a group's record, 0 if there is none.
+func (e *Elector) Version(group string) uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if g := e.groups[group]; g != nil {
+		return g.record.Version()
+	}
+	return 0
+}
+
+// Refresh tells the groups of their leaders again, after the groups or their servers have changed.
+func (e *Elector) Refresh() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for name, g := range e.groups {
+		if g.record.Phase() != lead.Stable {
+			continue
+		}
+		if pg, ok := e.set.Group(name); ok {
+			pg.Lead(g.record.Server(), g.record.Version())
+		}
+	}
+}
+
+// Changed returns a channel that is closed with the next change of a record or the lease.
+func (e *Elector) Changed() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.changed
+}
+
+// Answered notes that a primary answered a request sent at asked, or that it did not.
+func (e *Elector) Answered(group, server string, asked time.Time, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g := e.groups[group]
+	if g == nil || g.record.Server() != server {
+		return
+	}
+	if ok {
+		g.watch.Succeeded(asked)
+	} else {
+		g.watch.Failed(asked)
+	}
+}
+
+// notify wakes those that wait for a change. The caller holds mu.
+func (e *Elector) notify() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+func (e *Elector) wake() {
+	select {
+	case e.renew <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Elector) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+type follower Elector
+
+// Reset implements watch.Follower.
+func (f *follower) Reset(sent time.Time, s port.Snapshot) { (*Elector)(f).take(sent, s, true) }
+
+// Change implements watch.Follower.
+func (f *follower) Change(sent time.Time, s port.Snapshot) { (*Elector)(f).take(sent, s, false) }
+
+// Down implements watch.Follower.
+func (f *follower) Down(err error) {
+	f.log.Event(event.StoreDown, zap.String("table", leadTable), zap.Error(err))
+}
+
+// take applies rows of the table of records.
+func (e *Elector) take(sent time.Time, s port.Snapshot, all bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.store.Heard(sent, s.Clock)
+	moved := false
+	for _, row := range s.Rows {
+		if row.Key == epochKey {
+			moved = moved || row.Version > e.epoch
+			e.epoch = max(e.epoch, row.Version)
+			continue
+		}
+		group, r, ok, err := decodeRecord(row)
+		if err != nil {
+			e.log.Event(event.InvariantViolated, zap.Error(err))
+		}
+		if ok {
+			e.apply(group, r)
+		}
+	}
+	if all {
+		e.known = true
+	}
+	if moved || all {
+		e.wake()
+	}
+	e.notify()
+}
+
+// apply takes in a record. The caller holds mu.
+func (e *Elector) apply(group string, r lead.Record) {
+	g := e.group(group)
+	if r.Version() <= g.record.Version() {
+		return
+	}
+	now := e.clock()
+	e.log.Event(event.LeaderChanged, zap.String("group", group), zap.String("server", r.Server()),
+		zap.Uint64("term", r.Term()), zap.Bool("moving", r.Phase() == lead.Moving), zap.String("by", r.Holder()),
+		zap.Uint64("version", r.Version()))
+	if r.Phase() == lead.Moving && g.record.Phase() == lead.Stable {
+		g.confirmBy = now.Add(settle)
+	}
+	if r.Phase() == lead.Stable {
+		if r.Server() != g.record.Server() || g.record.Phase() != lead.Stable {
+			g.watch, g.suspect, g.noticed = lead.Watch{}, false, time.Time{}
+		}
+		g.serving = r.Version()
+	}
+	g.record, g.seen = r, now
+	if r.Phase() == lead.Stable {
+		if pg, ok := e.set.Group(group); ok {
+			pg.Lead(r.Server(), r.Version())
+		}
+	}
+}
+
+// group returns the state of a group. The caller holds mu.
+func (e *Elector) group(name string) *groupState {
+	g, ok := e.groups[name]
+	if !ok {
+		g = &groupState{}
+		e.groups[name] = g
+	}
+	return g
+}
+
+// reload reads the records anew.
+func (e *Elector) reload(ctx context.Context) error {
+	sent := e.clock()
+	s, err := e.rows.List(ctx, leadTable)
+	if err != nil {
+		return err
+	}
+	e.take(sent, s, true)
+	return nil
+}
+
+// renewOnce renews the lease and waits until it is to be renewed again.
+func (e *Elector) renewOnce(ctx context.Context) {
+	next := lead.Renewal
+	if err := e.renewNow(ctx); err != nil {
+		next = 150*time.Millisecond + time.Duration(retry.Jitter()*float64(150*time.Millisecond))
+		if !errors.Is(err, port.ErrConflict) {
+			e.log.Event(event.StoreDown, zap.String("table", memberTable), zap.Error(err))
+		}
+		if e.reload(ctx) == nil && errors.Is(err, port.ErrConflict) {
+			next = 0
+		}
+		e.mu.Lock()
+		e.own = 0
+		e.mu.Unlock()
+	}
+	t := time.NewTimer(next)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-e.renew:
+	case <-t.C:
+	}
+}
+
+// renewNow confirms the epoch with this VM's row and extends the lease.
+func (e *Elector) renewNow(ctx context.Context) error {
+	if err := e.readOwn(ctx); err != nil {
+		return err
+	}
+	if !e.ready(ctx) {
+		return nil
+	}
+	e.mu.Lock()
+	now := e.clock()
+	latest, known := e.store.Latest(now)
+	epoch, own := e.epoch, e.own
+	var suspect []string
+	for name, g := range e.groups {
+		if g.record.Phase() == lead.Moving {
+			g.serving = 0
+		}
+		if g.suspect {
+			suspect = append(suspect, name)
+		}
+	}
+	e.mu.Unlock()
+	if !known {
+		return e.reload(ctx)
+	}
+	slices.Sort(suspect)
+	row, err := encodeMember(lead.NewMember(e.name, epoch, latest+lead.Length, suspect))
+	if err != nil {
+		return err
+	}
+	s, err := e.rows.Commit(ctx, []port.Row{
+		{Table: leadTable, Key: epochKey, Version: epoch}, {Table: memberTable, Key: e.name, Version: own},
+	}, []port.Row{row}, nil)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s.Version > 0 {
+		e.store.Heard(now, s.Clock)
+	}
+	if err != nil {
+		return err
+	}
+	e.own = s.Version
+	e.lease.Renew(now, epoch)
+	if !e.held {
+		e.held = true
+		e.log.Event(event.LeaseRenewed, zap.Uint64("epoch", epoch))
+		e.notify()
+	}
+	return nil
+}
+
+// readOwn learns the version of this VM's row after a renewal whose outcome is not known. With it as a condition, a renewal
+// that the store carries out late cannot replace a newer one.
+func (e *Elector) readOwn(ctx context.Context) error {
+	e.mu.Lock()
+	own := e.own
+	e.mu.Unlock()
+	if own != 0 {
+		return nil
+	}
+	sent := e.clock()
+	s, err := e.rows.List(ctx, memberTable)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.store.Heard(sent, s.Clock)
+	for _, row := range s.Rows {
+		if row.Key == e.name {
+			e.own = row.Version
+		}
+	}
+	return nil
+}
+
+// ready waits until the work that uses a primary which is to be replaced has ended, for a short while, and reports whether
+// the records are known.
+func (e *Elector) ready(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		busy, known := false, e.known
+		now := e.clock()
+		for _, g := range e.groups {
+			busy = busy || (g.record.Phase() == lead.Moving && g.users > 0 && g.serving != 0 && now.Before(g.confirmBy))
+		}
+		e.mu.Unlock()
+		if !busy {
+			return known
+		}
+		e.pause(ctx, 10*time.Millisecond)
+	}
+	return false
+}
+
+// readMembers reads the list of VMs.
+func (e *Elector) readMembers(ctx context.Context) {
+	sent := e.clock()
+	s, err := e.rows.List(ctx, memberTable)
+	if err != nil {
+		return
+	}
+	members, err := decodeMembers(s.Rows)
+	if err != nil {
+		e.log.Event(event.InvariantViolated, zap.Error(err))
+		return
+	}
+	e.mu.Lock()
+	e.store.Heard(sent, s.Clock)
+	e.members, e.membersAt = lead.Live(members, s.Clock), sent
+	n := len(e.members)
+	e.mu.Unlock()
+	e.set.SetVMs(n)
+}
+
+func (e *Elector) memberPause() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, g := range e.groups {
+		if g.suspect || !g.noticed.IsZero() {
+			return suspectInterval
+		}
+	}
+	return memberInterval
+}
+
+// Stop ends the replacing of primaries by this VM and removes it from the list once its work has ended.
+func (e *Elector) Stop(ctx context.Context) {
+	e.mu.Lock()
+	e.stopping = true
+	own := e.own
+	e.mu.Unlock()
+	if own == 0 {
+		return
+	}
+	_, err := e.rows.Commit(ctx, []port.Row{{Table: memberTable, Key: e.name, Version: own}}, nil,
+		[]port.Row{{Table: memberTable, Key: e.name}})
+	if err != nil {
+		e.log.Event(event.StoreDown, zap.String("table", memberTable), zap.Error(err))
+	}
+}
+
+// GroupState describes a group's record for a dump.
+type GroupState struct {
+	Group   string `json:"group"`
+	Server  string `json:"server"`
+	Term    uint64 `json:"term"`
+	Moving  bool   `json:"moving"`
+	Holder  string `json:"holder"`
+	Version uint64 `json:"version"`
+	Suspect bool   `json:"suspect"`
+	Users   int    `json:"users"`
+}
+
+// State describes the elector for a dump.
+type State struct {
+	Epoch     uint64        `json:"epoch"`
+	LeaseLeft time.Duration `json:"lease_left"`
+	VMs       []string      `json:"vms"`
+	Groups    []GroupState  `json:"groups"`
+}
+
+// State returns a copy of the state.
+func (e *Elector) State() State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := State{Epoch: e.epoch, LeaseLeft: e.lease.Until().Sub(e.clock())}
+	for _, m := range e.members {
+		s.VMs = append(s.VMs, m.Name())
+	}
+	for name, g := range e.groups {
+		s.Groups = append(s.Groups, GroupState{
+			Group: name, Server: g.record.Server(), Term: g.record.Term(), Moving: g.record.Phase() == lead.Moving,
+			Holder: g.record.Holder(), Version: g.record.Version(), Suspect: g.suspect, Users: g.users,
+		})
+	}
+	return s
+}
+
+// observe passes a position of the primary on, if the server certainly was the primary when it gave it.
+func (e *Elector) observe(pg *pool.Group, group, server string, asked time.Time, p point.Point) {
+	e.mu.Lock()
+	g := e.groups[group]
+	valid := g != nil && g.record.Server() == server && g.record.Phase() == lead.Stable && e.lease.Holds(e.clock())
+	e.mu.Unlock()
+	pg.Learn(server, asked, p, valid)
+}
