io/pool: tell a refused connection from a silence, with the tests of the whole path

Cause: io/edge's script failover found it: result.Wrap hides its cause from errors.Is, so that no probe of a crashed primary counted as refused, and a group without traffic was never given another primary. Change: result.HasCause looks through the causes; a pool logs only the first failed connection and the recovery.

--- /dev/null
+++ b/core/layout/layout_test.go
@@ -0,0 +1,31 @@
+package layout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func ExampleShare() {
+	fmt.Println(Share(34, 9), Share(34, 40))
+	// Output: 3 1
+}
+
+func ExampleConfig_Route() {
+	c := NewConfig(7, []Route{NewRoute("dues", "ledger", Bounded, time.Second, time.Second, time.Second, 1)},
+		map[string]int{"ledger": 34}, time.Second)
+	r, ok := c.Route("dues")
+	fmt.Println(r.Group(), r.Kind(), ok)
+	// Output: ledger bounded true
+}
+
+// Guards against VMs that together open more connections than a server accepts, wherever each may have one at all.
+func TestSharesStayWithinTheLimit(t *testing.T) {
+	for limit := 3; limit < 200; limit++ {
+		for n := 1; n <= limit-2; n++ {
+			if n*Share(limit, n) > limit {
+				t.Fatalf("%d VMs open %d connections each to a server that accepts %d", n, Share(limit, n), limit)
+			}
+		}
+	}
+}
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -201,7 +201,10 @@
 
 // Latest returns the latest time that the store's clock can show at now; false before the first answer.
 func (c *StoreClock) Latest(now time.Time) (time.Duration, bool) {
-	return c.value + now.Sub(c.sent), !c.sent.IsZero()
+	if c.sent.IsZero() {
+		return 0, false
+	}
+	return c.value + now.Sub(c.sent), true
 }
 
 // Candidate is a server that could be promoted.
--- /dev/null
+++ b/core/lead/lead_test.go
@@ -0,0 +1,142 @@
+package lead
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"verbenagate/core/point"
+)
+
+func ExampleBest() {
+	best, _ := Best([]Candidate{
+		NewCandidate("a", point.New(3, 1207), false), NewCandidate("b", point.New(3, 1209), false),
+	})
+	fmt.Println(best.ID())
+	// Output: b
+}
+
+func ExamplePending() {
+	members := []Member{
+		NewMember("confirmed", 7, 20*time.Second, nil), NewMember("silent", 5, 20*time.Second, nil),
+		NewMember("gone", 5, 3*time.Second, nil),
+	}
+	fmt.Println(Pending(members, 7, 10*time.Second))
+	// Output: [silent]
+}
+
+var start = time.Unix(1000, 0)
+
+// TestScripts runs the decisions of the files in _fixtures. It guards against a lease that outlives what the store knows of
+// it, and against promotions that are needless, come too early or are ordered twice.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "_fixtures", func(t *testing.T, path string) {
+		var l Lease
+		var c StoreClock
+		var w Watch
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			at := func(key string) time.Time {
+				var text string
+				d.ScanArgs(t, key, &text)
+				return start.Add(duration(t, text))
+			}
+			switch d.Cmd {
+			case "renew":
+				var epoch uint64
+				d.ScanArgs(t, "epoch", &epoch)
+				l.Renew(at("sent"), epoch)
+				return fmt.Sprintf("until %s epoch %d", l.Until().Sub(start), l.Epoch())
+			case "holds":
+				return strconv.FormatBool(l.Holds(at("now")))
+			case "heard":
+				var value string
+				d.ScanArgs(t, "value", &value)
+				c.Heard(at("sent"), duration(t, value))
+				return ""
+			case "latest":
+				v, ok := c.Latest(at("now"))
+				return fmt.Sprint(v, " ", ok)
+			case "pending":
+				var epoch uint64
+				var store string
+				d.ScanArgs(t, "epoch", &epoch)
+				d.ScanArgs(t, "store", &store)
+				return strings.Join(Pending(members(t, d.Input), epoch, duration(t, store)), " ")
+			case "agreed":
+				var store string
+				d.ScanArgs(t, "store", &store)
+				return strconv.FormatBool(Agreed(Live(members(t, d.Input), duration(t, store)), "g"))
+			case "best":
+				best, ok := Best(candidates(t, d.Input))
+				return fmt.Sprint(best.ID(), " ", ok)
+			case "failed":
+				w.Failed(at("asked"))
+				return ""
+			case "succeeded":
+				w.Succeeded(at("asked"))
+				return ""
+			case "unreachable":
+				return strconv.FormatBool(w.Unreachable(at("now"), d.HasArg("refused")))
+			case "may-order":
+				return strconv.FormatBool(MayOrder(at("now"), at("written")))
+			case "may-take-over":
+				return strconv.FormatBool(MayTakeOver(at("now"), at("seen")))
+			}
+			t.Fatalf("unknown command %q", d.Cmd)
+			return ""
+		})
+	})
+}
+
+func duration(t *testing.T, text string) time.Duration {
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// members reads lines "NAME EPOCH UNTIL [suspects]".
+func members(t *testing.T, input string) []Member {
+	var all []Member
+	for l := range strings.Lines(input) {
+		f := strings.Fields(l)
+		epoch, err := strconv.ParseUint(f[1], 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var suspect []string
+		if len(f) > 3 {
+			suspect = []string{"g"}
+		}
+		all = append(all, NewMember(f[0], epoch, duration(t, f[2]), suspect))
+	}
+	return all
+}
+
+// candidates reads lines "ID TERM POSITION".
+func candidates(t *testing.T, input string) []Candidate {
+	var all []Candidate
+	for l := range strings.Lines(input) {
+		var id string
+		var term, position uint64
+		if _, err := fmt.Sscan(l, &id, &term, &position); err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, NewCandidate(id, point.New(term, position), false))
+	}
+	return all
+}
+
+// Guards against an order that is still on its way when another VM takes the promotion over.
+func TestOrderEndsBeforeTakeover(t *testing.T) {
+	for d := time.Duration(0); d < 10*time.Second; d += 100 * time.Millisecond {
+		if now := start.Add(d); MayOrder(now.Add(-2*time.Second), start) && MayTakeOver(now, start) {
+			t.Fatalf("an order of up to 2 s meets a takeover after %s", d)
+		}
+	}
+}
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -93,6 +93,21 @@
 	return errType.Wrap(err, format, args...).WithProperty(codeProp, c)
 }
 
+// HasCause reports whether err or one of its causes is target. Unlike errors.Is it sees the causes that Wrap was given.
+func HasCause(err, target error) bool {
+	for err != nil {
+		if errors.Is(err, target) {
+			return true
+		}
+		x := errorx.Cast(err)
+		if x == nil {
+			return false
+		}
+		err = x.Cause()
+	}
+	return false
+}
+
 // CodeOf returns the code that err carries. An error without one is Internal, and nil is OK.
 func CodeOf(err error) Code {
 	if err == nil {
--- /dev/null
+++ b/io/edge/edge_test.go
@@ -0,0 +1,329 @@
+package edge_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"verbenagate/io/edge"
+	"verbenagate/io/entry"
+	"verbenagate/io/watch"
+	"verbenagate/lab/lines"
+	"verbenagate/lab/rows"
+	"verbenagate/platform"
+)
+
+// patience bounds each wait for a condition; no result depends on how long a wait takes.
+const patience = 30 * time.Second
+
+// site is a deployment of stand-ins and VMs in one process.
+type site struct {
+	t       *testing.T
+	store   *rows.Store
+	group   *lines.Group
+	vms     map[string]*edge.Edge
+	callers map[string]string // address by VM
+	conns   map[string]*caller
+	routes  []string
+	version int
+	orders  []rows.Order
+}
+
+type caller struct {
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+// TestScripts plays the files in _fixtures on stand-ins of the store and of the servers. It guards against sessions that miss
+// their own writes or read data that are too old, writes that are doubled, lost or wrongly reported, session state that leaks
+// between callers, and changes of the primary or of the configuration that do not come into force.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "_fixtures", func(t *testing.T, path string) {
+		s := newSite(t)
+		defer s.close()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			s.t = t
+			return s.command(d)
+		})
+	})
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{
+		t: t, vms: make(map[string]*edge.Edge), callers: make(map[string]string), conns: make(map[string]*caller),
+	}
+	var err error
+	if s.group, err = lines.NewGroup("ledger", 3); err != nil {
+		t.Fatal(err)
+	}
+	s.store, err = rows.Start(func(o rows.Order) error {
+		s.orders = append(s.orders, o)
+		return s.group.Promote(o.ID)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range s.group.Servers() {
+		s.register(i, "ready")
+	}
+	s.routes = []string{
+		`{"database":"pay","routeKind":"primary","timeoutMs":1500,"service":"ledger"}`,
+		`{"database":"own","routeKind":"read_your_writes","maxStalenessMs":2500,"timeoutMs":4000,"service":"ledger"}`,
+		`{"database":"old","routeKind":"bounded_stale","maxStalenessMs":4000,"timeoutMs":4000,"service":"ledger"}`,
+	}
+	s.configure()
+	return s
+}
+
+func (s *site) close() {
+	for _, c := range s.conns {
+		_ = c.conn.Close()
+	}
+	for _, vm := range s.vms {
+		vm.Stop()
+	}
+	s.group.Close()
+	_ = s.store.Close()
+}
+
+func (s *site) register(n int, state string) {
+	server := s.group.Server(n)
+	role := "replica"
+	if server.Leads() {
+		role = "primary"
+	}
+	s.store.Put("servers", server.ID(), fmt.Appendf(nil,
+		`{"service":"ledger","address":%q,"zone":"dc%d","slots":3,"state":%q,"dbRole":%q,"born":1}`, server.Addr(), n, state, role))
+}
+
+func (s *site) configure() {
+	s.version++
+	s.store.Put("op", "config", fmt.Appendf(nil,
+		`{"version":%d,"routes":[%s],"services":[{"name":"ledger","maxConns":40}],"limits":{"txIdleMs":2000}}`,
+		s.version, strings.Join(s.routes, ",")))
+}
+
+func (s *site) until(what string, holds func() bool) {
+	for end := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("no %s within %s", what, patience)
+		}
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (s *site) startVM(name string) string {
+	callers := freeAddress(s.t)
+	text := fmt.Sprintf("vm: %s\ndata_centre: dc0\ncallers: %s\nready: %s\nmetrics: %s\nstore: %s\norders: %s\ngrace_s: 2\nvms: 3\n",
+		name, callers, freeAddress(s.t), freeAddress(s.t), s.store.Addr(), s.store.Addr())
+	settings, err := edge.Parse("vm.yaml", []byte(text))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	out, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if path := os.Getenv("VERBENAGATE_TEST_LOG"); path != "" {
+		if out, err = os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	store := platform.NewStore(s.store.Addr(), s.store.Addr())
+	vm, err := edge.Start(settings, edge.Adapters{
+		Rows: store, Orders: store, Dialer: platform.NewDialer(name),
+		Source: watch.Source{
+			ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, ServerTable: platform.ServerTable,
+			ParseConfig: platform.ParseConfig, ParseServer: platform.ParseServer,
+		},
+		Wrap:      func(conn net.Conn) entry.Conn { return platform.NewCallerConn(conn) },
+		ReadyPath: platform.ReadyPath,
+	}, out)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.vms[name], s.callers[name] = vm, callers
+	s.until("leader at "+name, func() bool { return vm.Ready() && s.leads(vm) != "" })
+	return ""
+}
+
+// leads returns the server that the VM may use as the primary.
+func (s *site) leads(vm *edge.Edge) string {
+	st := vm.State().Elector
+	if st.LeaseLeft <= 0 {
+		return ""
+	}
+	for _, g := range st.Groups {
+		if g.Group == "ledger" && !g.Moving {
+			return g.Server
+		}
+	}
+	return ""
+}
+
+func (s *site) command(d *datadriven.TestData) string {
+	arg := func(i int) string { return d.CmdArgs[i].Key }
+	number := func(i int) int { return int(arg(i)[0] - '0') }
+	switch d.Cmd {
+	case "vm":
+		return s.startVM(arg(0))
+	case "open":
+		return s.open(arg(0), arg(1), arg(2))
+	case "send":
+		return s.send(arg(0), d.Input)
+	case "close":
+		_ = s.conns[arg(0)].conn.Close()
+		delete(s.conns, arg(0))
+		return ""
+	case "replicate":
+		s.group.Replicate()
+		return ""
+	case "stop":
+		s.group.Server(number(0)).Stop()
+		return ""
+	case "restart":
+		if err := s.group.Server(number(0)).Restart(); err != nil {
+			return err.Error()
+		}
+		return ""
+	case "mute":
+		s.group.Server(number(0)).Mute(arg(1), arg(2) == "on")
+		return ""
+	case "register":
+		s.register(number(0), arg(1))
+		return ""
+	case "unregister":
+		s.store.Remove("servers", s.group.Server(number(0)).ID())
+		return ""
+	case "store":
+		s.store.SetFault(map[string]rows.Fault{"up": rows.None, "down": rows.Down, "lost": rows.Lost}[arg(0)])
+		return ""
+	case "drop-history":
+		s.store.DropHistory()
+		return ""
+	case "leader":
+		s.until("leader "+arg(1)+" at "+arg(0), func() bool {
+			return s.leads(s.vms[arg(0)]) == s.group.Server(number(1)).ID()
+		})
+		return ""
+	case "data":
+		return strings.Join(s.group.Server(number(0)).Data(arg(1)), " ")
+	case "runs":
+		return s.runs(arg(0))
+	case "routes":
+		s.routes = strings.Split(strings.TrimSpace(d.Input), "\n")
+		if d.Input == "" {
+			s.routes = nil
+		}
+		s.configure()
+		for name, vm := range s.vms {
+			s.until("version at "+name, func() bool { return vm.State().Config == uint64(s.version) })
+		}
+		return ""
+	case "tokens":
+		return s.tokens()
+	case "stop-vm":
+		s.vms[arg(0)].Stop()
+		delete(s.vms, arg(0))
+		return ""
+	}
+	s.t.Fatalf("unknown command %q", d.Cmd)
+	return ""
+}
+
+// tokens tells whether the tokens of the orders grow, as the platform requires when the holder changes.
+func (s *site) tokens() string {
+	for i := 1; i < len(s.orders); i++ {
+		if s.orders[i].Holder != s.orders[i-1].Holder && s.orders[i].Token <= s.orders[i-1].Token {
+			return fmt.Sprint("not growing: ", s.orders)
+		}
+	}
+	return "growing"
+}
+
+// runs shows the session state with which the statements of an id ran.
+func (s *site) runs(id string) string {
+	var out strings.Builder
+	for _, r := range s.group.Runs() {
+		if r.ID == id {
+			fmt.Fprintf(&out, "%s values=%q shape=%q\n", r.Server, r.Values, r.Shape)
+		}
+	}
+	return out.String()
+}
+
+func (s *site) open(name, vm, database string) string {
+	conn, err := net.Dial("tcp4", s.callers[vm])
+	if err != nil {
+		return "error: " + err.Error()
+	}
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	c := &caller{conn: conn, r: bufio.NewReader(conn)}
+	s.conns[name] = c
+	_, _ = fmt.Fprintf(conn, "START %s %s\r\n", database, name)
+	return s.read(c)
+}
+
+// send sends each line as a request, and shows the answers. A line "ID TEXT" has an id of its own.
+func (s *site) send(name, input string) string {
+	c := s.conns[name]
+	_ = c.conn.SetDeadline(time.Now().Add(patience))
+	var out strings.Builder
+	for l := range strings.Lines(input) {
+		_, _ = fmt.Fprintf(c.conn, "QUERY %s\r\n", strings.TrimRight(l, "\n"))
+		out.WriteString(s.read(c) + "\n")
+	}
+	return out.String()
+}
+
+// read reads an answer and shows it on one line. The text of an error is left out, as it names times and addresses.
+func (s *site) read(c *caller) string {
+	var parts []string
+	for {
+		l, err := c.r.ReadString('\n')
+		if err != nil {
+			return strings.Join(append(parts, "closed"), ", ")
+		}
+		l = strings.TrimRight(l, "\r\n")
+		f := strings.Fields(l)
+		switch f[0] {
+		case "READY":
+			return strings.Join(append(parts, f[1]), ", ")
+		case "ERR":
+			parts = append(parts, f[0]+" "+f[1])
+		default:
+			parts = append(parts, l)
+		}
+	}
+}
+
+// Guards against a dump that cannot be encoded or lacks what an engineer looks for.
+func TestStateDump(t *testing.T) {
+	s := newSite(t)
+	defer s.close()
+	s.startVM("a")
+	text, err := json.Marshal(s.vms["a"].State())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{`"server":"ledger-0"`, `"lease_left"`, `"config":1`, `"limit"`} {
+		if !strings.Contains(string(text), want) {
+			t.Errorf("the dump lacks %s: %s", want, text)
+		}
+	}
+}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"syscall"
@@ -142,6 +141,7 @@
 	full    time.Time // until then no connection is opened
 	closed  bool
 	refused bool // the last dial was refused by the server's machine
+	failing bool // the last dial failed
 }
 
 // Acquire returns a connection, for preference one that carries these session values. Requests of a lower priority number
@@ -236,18 +236,19 @@
 	now := p.clock()
 	sc, err := p.dialer.Dial(ctx, p.server.Address(), p.server.Group(), p.server.ID())
 	if err == nil {
-		p.mu.Lock()
-		p.refused = false
-		p.mu.Unlock()
+		p.reached()
 		return &Conn{
 			ServerConn: sc, pool: p, values: make(map[string]string), prepared: make(map[query.Shape]string), opened: now,
 		}, nil
 	}
-	p.log.Event(event.EndptDown, zap.String("server", p.server.ID()), zap.Error(err))
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.failing {
+		p.failing = true
+		p.log.Event(event.EndptDown, zap.String("server", p.server.ID()), zap.Error(err))
+	}
 	p.open--
-	p.refused = errors.Is(err, syscall.ECONNREFUSED)
+	p.refused = result.HasCause(err, syscall.ECONNREFUSED)
 	if code := result.CodeOf(err); code == result.TooManyCallers || code == result.Overloaded {
 		p.full = p.clock().Add(fullPause)
 	}
@@ -255,6 +256,16 @@
 	return nil, err
 }
 
+// reached notes that the server took a connection.
+func (p *Pool) reached() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.failing {
+		p.log.Event(event.EndptUp, zap.String("server", p.server.ID()))
+	}
+	p.refused, p.failing = false, false
+}
+
 // Refused reports whether the server's machine refused the last connection, which says that the server does not run.
 func (p *Pool) Refused() bool {
 	p.mu.Lock()
