io/elect: take a busy server's answer for an answer

Cause: a primary that answered BUSY to a status counted as one that did not answer, and the connection was closed; a primary under load could so be replaced without need. Change: pool.Group.Status tells whether the server answered; only silence and refused connections count as failures. That all connections of the VM are in use says nothing of the server. TestBusyServerIsAnAnswer fails before.

--- a/io/elect/judge.go
+++ b/io/elect/judge.go
@@ -9,6 +9,7 @@
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
 	"verbenagate/core/port"
+	"verbenagate/core/result"
 	"verbenagate/io/pool"
 	"verbenagate/io/watch"
 )
@@ -140,12 +141,13 @@
 // probe asks a primary for its status.
 func (e *Elector) probe(pg *pool.Group, group, server string) {
 	asked := e.clock()
-	s, sent, err := pg.Status(server, probeLimit)
+	s, answered, err := pg.Status(server, probeLimit)
 	if err == nil {
 		e.observe(pg, group, server, asked, s.Received())
 	}
-	if err == nil || sent || pg.Refused(server) || e.clock().Sub(asked) >= probeLimit {
-		e.Answered(group, server, asked, err == nil)
+	// That all of this VM's connections are in use says nothing of the server.
+	if answered || result.CodeOf(err) != result.QueueFull {
+		e.Answered(group, server, asked, answered)
 	}
 	e.mu.Lock()
 	e.group(group).probing = false
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -10,6 +10,7 @@
 	"verbenagate/core/layout"
 	"verbenagate/core/point"
 	"verbenagate/core/port"
+	"verbenagate/core/result"
 	"verbenagate/core/route"
 	"verbenagate/core/work"
 	"verbenagate/io/logs"
@@ -179,8 +180,8 @@
 	g.table.Learn(g.clock(), info)
 }
 
-// Status asks a server for its status.
-func (g *Group) Status(id string, limit time.Duration) (exec.ServerStatus, bool, error) {
+// Status asks a server for its status. Answered says that the server answered, also if it was too busy to tell its status.
+func (g *Group) Status(id string, limit time.Duration) (s exec.ServerStatus, answered bool, err error) {
 	p, ok := g.Pool(id)
 	if !ok {
 		return exec.ServerStatus{}, false, errGone
@@ -191,12 +192,15 @@
 		return exec.ServerStatus{}, false, err
 	}
 	defer c.Release()
-	s, err := c.Status(max(end.Sub(g.clock()), time.Millisecond))
-	if err != nil {
-		c.Break()
-		return exec.ServerStatus{}, true, err
+	s, err = c.Status(max(end.Sub(g.clock()), time.Millisecond))
+	switch {
+	case err == nil:
+		return s, true, nil
+	case result.CodeOf(err) == result.Overloaded:
+		return s, true, err
 	}
-	return s, true, nil
+	c.Break()
+	return s, false, err
 }
 
 // Demote has a server stop leading any term below term.
--- a/lab/lines/lines.go
+++ b/lab/lines/lines.go
@@ -46,6 +46,7 @@
 	leads    bool
 	log      []commit
 	mute     map[string]bool // verbs whose answers are lost after their effect
+	busy     bool            // statements are refused for want of a slot
 	conns    map[net.Conn]struct{}
 	down     bool
 }
@@ -144,6 +145,13 @@
 	s.mute[verb] = on
 }
 
+// SetBusy has the server refuse all that needs a slot.
+func (s *Server) SetBusy(on bool) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	s.busy = on
+}
+
 // Data returns what the server's log holds for an item, oldest first.
 func (s *Server) Data(item string) []string {
 	s.g.mu.Lock()
@@ -263,6 +271,9 @@
 	_, _ = fmt.Fprintf(ss.conn, "%sREADY %s %s\r\n", body, state, position)
 }
 
+// needsSlot are the verbs that occupy a slot.
+var needsSlot = map[string]bool{"READ": true, "WRITE": true, "EXEC": true, "COMMIT": true, "STATUS": true}
+
 const done = "DONE -\r\n"
 
 func (ss *session) refuse(code string) string {
@@ -307,6 +318,9 @@
 func (ss *session) run(id, verb, rest, text string) string {
 	s := ss.s
 	name, arguments, _ := strings.Cut(rest, " ")
+	if s.busy && needsSlot[verb] {
+		return "ERR BUSY " + s.id + "\r\n"
+	}
 	switch verb {
 	case "BEGIN":
 		if rest == "" && !s.leads {
