--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -131,6 +131,21 @@
 	return live
 }
 
+// forgotten is how long after its lease a VM still counts as one that holds connections: it may be cut off from the store and
+// go on with the servers.
+const forgotten = time.Minute
+
+// Holders returns how many VMs may hold connections to servers.
+func Holders(members []Member, store time.Duration) int {
+	n := 0
+	for _, m := range members {
+		if m.until+forgotten > store {
+			n++
+		}
+	}
+	return n
+}
+
 // Agreed reports whether most live VMs cannot reach the primary of group. A VM alone may be the one that is cut off.
 func Agreed(live []Member, group string) bool {
 	n := 0
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -70,6 +70,10 @@
 				var store string
 				d.ScanArgs(t, "store", &store)
 				return strconv.FormatBool(Agreed(Live(members(t, d.Input), duration(t, store)), "g"))
+			case "holders":
+				var store string
+				d.ScanArgs(t, "store", &store)
+				return strconv.Itoa(Holders(members(t, d.Input), duration(t, store)))
 			case "best":
 				best, ok := Best(candidates(t, d.Input))
 				return fmt.Sprint(best.ID(), " ", ok)
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -449,7 +449,7 @@
 	e.mu.Lock()
 	e.store.Heard(sent, s.Clock)
 	e.members, e.membersAt = lead.Live(members, s.Clock), sent
-	n := len(e.members)
+	n := lead.Holders(members, s.Clock)
 	e.mu.Unlock()
 	e.set.SetVMs(n)
 }
