io/entry: refuse at once what needs a primary when the lease has ended

Change: such a statement is refused at once as not run, the VM reports that it is not ready, and the session is closed when idle, so that its caller reconnects to another VM. A primary that is being replaced is still waited for. The new steps of io/edge's script config fail before.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -158,8 +158,8 @@
 	return nil
 }
 
-// Ready reports whether the VM takes new sessions.
-func (e *Edge) Ready() bool { return !e.stopping.Load() && e.dir.Ready() }
+// Ready reports whether the VM takes new sessions. One without a lease would refuse most of their work.
+func (e *Edge) Ready() bool { return !e.stopping.Load() && e.dir.Ready() && e.elector.Holds() }
 
 // State is a dump of the VM.
 type State struct {
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -235,6 +235,9 @@
 			s.until("version at "+name, func() bool { return vm.State().Config == uint64(s.version) })
 		}
 		return ""
+	case "lease-lost":
+		s.until("end of the lease", func() bool { return s.vms[arg(0)].State().Elector.LeaseLeft <= 0 })
+		return fmt.Sprint("ready ", s.vms[arg(0)].Ready())
 	case "tokens":
 		return s.tokens()
 	case "stop-vm":
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -157,6 +157,13 @@
 	return Use{e: e, group: group, server: g.record.Server(), version: g.serving}, true
 }
 
+// Holds reports whether the lease lasts. Without it no primary can be used until the store answers again.
+func (e *Elector) Holds() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lease.Holds(e.clock())
+}
+
 // Version returns the version of a group's record, 0 if there is none.
 func (e *Elector) Version(group string) uint64 {
 	e.mu.Lock()
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -133,6 +133,9 @@
 			return t, nil
 		}
 		err = e
+		if result.CodeOf(e) == result.StoreUnavailable {
+			return target{}, err
+		}
 		tried = nil
 		ss.pause(end)
 	}
@@ -152,7 +155,7 @@
 	use, usable := ss.s.p.Elector.Use(r.Group())
 	if id == "" || (usable && id == use.Server()) {
 		if !usable {
-			return target{}, result.New(result.NoServer, "no primary of %s can be used", r.Group())
+			return target{}, ss.noPrimary(r)
 		}
 		if id == "" {
 			g.Started(use.Server())
@@ -180,6 +183,16 @@
 	return target{}, err
 }
 
+// noPrimary says why no primary can be used. Without a lease that lasts until the store answers again, so the caller is told at
+// once and can go to another VM; a primary that is being replaced is worth waiting for.
+func (ss *session) noPrimary(r layout.Route) error {
+	if !ss.s.p.Elector.Holds() {
+		ss.leave = true
+		return result.New(result.StoreUnavailable, "this VM cannot reach the store and does not know the primary of %s", r.Group())
+	}
+	return result.New(result.NoServer, "the primary of %s is being replaced", r.Group())
+}
+
 // share returns how long one server may take: the primary all the time that is left, since no other server can do its work.
 func (ss *session) share(end time.Time, primary bool) time.Duration {
 	left := end.Sub(ss.s.p.Clock())
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -39,6 +39,7 @@
 	prepared map[string]query.Shape
 	required point.Point // what the session's own commits need a read to see
 	version  uint64      // of the leader's record when required was noted
+	leave    bool        // the session is better served by another VM
 
 	tx tx
 }
@@ -85,6 +86,9 @@
 		if a.after != nil {
 			a.after()
 		}
+		if ss.leave && ss.state == query.Idle {
+			return
+		}
 	}
 }
 
