--- a/io/elect/judge.go
+++ b/io/elect/judge.go
@@ -120,6 +120,13 @@
 	return e.start(g, now, replace)
 }
 
+// unreachable reports whether this VM suspects the primary of a group.
+func (e *Elector) unreachable(group string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.group(group).suspect
+}
+
 // start lets this VM act after those that come before it. The caller holds mu.
 func (e *Elector) start(g *groupState, now time.Time, a action) action {
 	if g.noticed.IsZero() {
--- a/io/elect/move.go
+++ b/io/elect/move.go
@@ -154,8 +154,9 @@
 // choose returns the server that loses the fewest commits, or one that leads already.
 func (m *mover) choose(ctx context.Context) (lead.Candidate, error) {
 	began := m.e.clock()
+	unreachable := m.e.unreachable(m.group)
 	for try := 1; ctx.Err() == nil; try++ {
-		candidates, old, others := m.ask()
+		candidates, old, others := m.ask(!unreachable || m.e.clock().Sub(began) > catchUp)
 		if len(candidates) == 0 && old.Primary() && m.e.clock().Sub(began) > catchUp {
 			return old, nil // The old primary is back, and no other server can be reached.
 		}
@@ -179,9 +180,9 @@
 	return lead.Candidate{}, ctx.Err()
 }
 
-// ask asks all servers for their position. Old is the old primary if it answers; others counts the servers that could be
-// promoted.
-func (m *mover) ask() (candidates []lead.Candidate, old lead.Candidate, others int) {
+// ask asks the servers for their position, the old primary only if withOld says so, as a crashed one takes long not to answer.
+// Others counts the servers that could be promoted.
+func (m *mover) ask(withOld bool) (candidates []lead.Candidate, old lead.Candidate, others int) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var lines []string
@@ -190,6 +191,9 @@
 		if able {
 			others++
 		}
+		if s.ID() == m.old && !withOld {
+			continue
+		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
