core/admit: refuse at once what would wait longer than its caller can use

Change: a pool learns how long its connections are held, and refuses a statement whose expected wait exceeds the latency aimed at; a read is offered to the other servers first.

--- /dev/null
+++ b/core/admit/admit.go
@@ -0,0 +1,42 @@
+// Package admit decides whether a statement may wait for a connection to a server.
+//
+// It answers the load pattern in which more work arrives at a server than it can do for seconds, as when the replicas of a group
+// fall behind and all reads go to the primary. A queue that only time limits bound then makes every caller wait for nearly its
+// time limit. A statement whose expected wait exceeds what its caller can use is refused at once instead, as not run, so
+// that those that are admitted are served in time.
+package admit
+
+import "time"
+
+const (
+	// weight is the share of the newest hold time in the average, so that it follows a change within some ten statements.
+	weight = 0.08
+	// firstHold is the hold time that is assumed before the first one is known.
+	firstHold = 20 * time.Millisecond
+)
+
+// Gate knows how long the connections to one server are held. It is not safe for concurrent use.
+type Gate struct{ hold time.Duration }
+
+// Held notes how long a connection was held for a statement or a transaction.
+func (g *Gate) Held(d time.Duration) {
+	if g.hold == 0 {
+		g.hold = d
+		return
+	}
+	g.hold += time.Duration(weight * float64(d-g.hold))
+}
+
+// Wait returns the expected wait behind ahead others for one of n connections, all of which are in use.
+func (g *Gate) Wait(ahead, n int) time.Duration {
+	hold := g.hold
+	if hold == 0 {
+		hold = firstHold
+	}
+	return hold * time.Duration(ahead+1) / time.Duration(max(n, 1))
+}
+
+// Admits reports whether a statement that can use an answer after patience may wait.
+func (g *Gate) Admits(ahead, n int, patience time.Duration) bool {
+	return g.Wait(ahead, n) <= patience
+}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,6 +43,7 @@
 // target is a server chosen for a statement or a transaction.
 type target struct {
 	group   *pool.Group
+	server  string
 	conn    *pool.Conn
 	use     elect.Use
 	primary bool
@@ -133,8 +135,12 @@
 			return t, nil
 		}
 		err = e
-		if result.CodeOf(e) == result.StoreUnavailable {
+		switch code := result.CodeOf(e); {
+		case code == result.StoreUnavailable, code == result.Overloaded && t.primary:
 			return target{}, err
+		case code == result.Overloaded:
+			tried = append(slices.Clone(tried), t.server)
+			continue
 		}
 		tried = nil
 		ss.pause(end)
@@ -164,11 +170,14 @@
 	} else if usable {
 		use.End()
 	}
+	t.server = id
 	p, ok := g.Pool(id)
 	err := result.New(result.NoServer, "server %s is gone", id)
 	if ok {
 		asked := ss.s.p.Clock()
-		t.conn, err = p.Acquire(ss.share(end, t.primary), r.Priority(), ss.values)
+		t.conn, err = p.Acquire(pool.Want{
+			Limit: ss.share(end, t.primary), Patience: patience(r), Priority: r.Priority(), Values: ss.values,
+		})
 		if err == nil {
 			return t, nil
 		}
@@ -176,11 +185,20 @@
 			ss.s.p.Elector.Answered(r.Group(), id, asked, false)
 		}
 	}
-	g.Finished(id, result.CodeOf(err) != result.QueueFull)
+	code := result.CodeOf(err)
+	g.Finished(id, code != result.QueueFull && code != result.Overloaded)
 	if t.primary {
 		t.use.End()
 	}
-	return target{}, err
+	return t, err
+}
+
+// patience returns how long a caller can use to wait: an answer after the latency aimed at is worth little.
+func patience(r layout.Route) time.Duration {
+	if r.Target() > 0 {
+		return min(r.Target(), r.Timeout())
+	}
+	return r.Timeout()
 }
 
 // noPrimary says why no primary can be used. Without a lease that lasts until the store answers again, so the caller is told at
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -187,7 +187,7 @@
 		return exec.ServerStatus{}, false, errGone
 	}
 	end := g.clock().Add(limit)
-	c, err := p.Acquire(limit, 0, nil)
+	c, err := p.Acquire(Want{Limit: limit, Patience: limit})
 	if err != nil {
 		return exec.ServerStatus{}, false, err
 	}
@@ -209,7 +209,7 @@
 	if !ok {
 		return errGone
 	}
-	c, err := p.Acquire(limit, 0, nil)
+	c, err := p.Acquire(Want{Limit: limit, Patience: limit})
 	if err != nil {
 		return err
 	}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenagate/core/admit"
 	"verbenagate/core/event"
 	"verbenagate/core/exec"
 	"verbenagate/core/layout"
@@ -35,16 +36,13 @@
 	prepared map[query.Shape]string
 	names    int
 	used     time.Time
-	opened   time.Time
+	taken    time.Time // when the statement or transaction got it
 	broken   bool
 }
 
 // Server returns the id of the server.
 func (c *Conn) Server() string { return c.pool.server.ID() }
 
-// Fresh reports whether the connection was opened at or after t.
-func (c *Conn) Fresh(t time.Time) bool { return !c.opened.Before(t) }
-
 // Do sends one request. The connection is closed on release if its state is uncertain afterwards.
 func (c *Conn) Do(limit time.Duration, op exec.Operation) (exec.Result, bool, error) {
 	if limit <= 0 {
@@ -138,23 +136,31 @@
 	open    int
 	idle    []*Conn
 	waiting []*waiter
+	gate    admit.Gate
 	full    time.Time // until then no connection is opened
 	closed  bool
 	refused bool // the last dial was refused by the server's machine
 	failing bool // the last dial failed
 }
 
-// Acquire returns a connection, for preference one that carries these session values. Requests of a lower priority number
-// come first.
-func (p *Pool) Acquire(limit time.Duration, priority int, values map[string]string) (*Conn, error) {
-	end := p.clock().Add(limit)
+// Want is a request for a connection. Patience is how long the caller can use to wait; limit is when it gives up.
+type Want struct {
+	Limit    time.Duration
+	Patience time.Duration
+	Priority int // requests of a lower number come first
+	Values   map[string]string
+}
+
+// Acquire returns a connection, for preference one that carries the session values wanted.
+func (p *Pool) Acquire(want Want) (*Conn, error) {
+	end := p.clock().Add(want.Limit)
 	p.mu.Lock()
 	switch {
 	case p.closed:
 		p.mu.Unlock()
 		return nil, result.New(result.NoServer, "server %s is gone", p.server.ID())
 	case len(p.idle) > 0:
-		c := p.take(values)
+		c := p.take(want.Values)
 		p.mu.Unlock()
 		return c, nil
 	case p.open < p.limit && !p.clock().Before(p.full):
@@ -162,8 +168,13 @@
 		p.mu.Unlock()
 		return p.dial(end.Sub(p.clock()))
 	}
-	w := &waiter{priority: priority, got: make(chan *Conn, 1)}
-	at, _ := slices.BinarySearchFunc(p.waiting, priority+1, func(w *waiter, n int) int { return w.priority - n })
+	w := &waiter{priority: want.Priority, got: make(chan *Conn, 1)}
+	at, _ := slices.BinarySearchFunc(p.waiting, want.Priority+1, func(w *waiter, n int) int { return w.priority - n })
+	if !p.gate.Admits(at, p.limit, want.Patience) {
+		wait := p.gate.Wait(at, p.limit)
+		p.mu.Unlock()
+		return nil, result.New(result.Overloaded, "%d wait for server %s, for %s", at, p.server.ID(), wait)
+	}
 	p.waiting = slices.Insert(p.waiting, at, w)
 	p.mu.Unlock()
 	return p.await(w, end)
@@ -213,6 +224,7 @@
 		}
 	}
 	c := p.idle[best]
+	c.taken = p.clock()
 	p.idle = slices.Delete(p.idle, best, best+1)
 	return c
 }
@@ -238,7 +250,7 @@
 	if err == nil {
 		p.reached()
 		return &Conn{
-			ServerConn: sc, pool: p, values: make(map[string]string), prepared: make(map[query.Shape]string), opened: now,
+			ServerConn: sc, pool: p, values: make(map[string]string), prepared: make(map[query.Shape]string), taken: now,
 		}, nil
 	}
 	p.mu.Lock()
@@ -287,6 +299,7 @@
 func (p *Pool) release(c *Conn) {
 	c.used = p.clock()
 	p.mu.Lock()
+	p.gate.Held(c.used.Sub(c.taken))
 	if c.broken || p.closed || p.open > p.limit {
 		p.open--
 		p.next()
@@ -297,6 +310,7 @@
 	if len(p.waiting) > 0 {
 		w := p.waiting[0]
 		p.waiting = slices.Delete(p.waiting, 0, 1)
+		c.taken = c.used
 		p.mu.Unlock()
 		w.got <- c
 		return
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -50,7 +50,7 @@
 	if !ok {
 		t.Fatalf("no pool of %s", id)
 	}
-	c, err := p.Acquire(limit, 1, values)
+	c, err := p.Acquire(Want{Limit: limit, Patience: limit, Priority: 1, Values: values})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -102,11 +102,11 @@
 	stand, group := newGroup(t, 1)
 	c := acquire(t, group, "ledger-0", nil)
 	p, _ := group.Pool("ledger-0")
-	_, err := p.Acquire(time.Millisecond, 1, nil)
+	_, err := p.Acquire(Want{Limit: time.Millisecond, Patience: limit, Priority: 1})
 	g.Expect(result.CodeOf(err)).To(gomega.Equal(result.QueueFull))
 	got := make(chan error, 1)
 	go func() {
-		next, err := p.Acquire(limit, 0, nil)
+		next, err := p.Acquire(Want{Limit: limit, Patience: limit})
 		if err == nil && next == c {
 			err = errors.New("the broken connection was given out again")
 		}
@@ -127,6 +127,18 @@
 	g.Expect(p.State().Open).To(gomega.Equal(1))
 }
 
+// Guards against a queue in which every statement waits for longer than its caller can use.
+func TestHopelessWaitIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, group := newGroup(t, 1)
+	p, _ := group.Pool("ledger-0")
+	p.gate.Held(time.Second)
+	c := acquire(t, group, "ledger-0", nil)
+	_, err := p.Acquire(Want{Limit: limit, Patience: 500 * time.Millisecond})
+	g.Expect(result.CodeOf(err)).To(gomega.Equal(result.Overloaded))
+	c.Release()
+}
+
 // Guards against waiters that hang when the server is gone, and against a server of another id at a reused address.
 func TestServerIsReplaced(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -135,7 +147,7 @@
 	p, _ := group.Pool("ledger-0")
 	got := make(chan error, 1)
 	go func() {
-		_, err := p.Acquire(limit, 0, nil)
+		_, err := p.Acquire(Want{Limit: limit, Patience: limit})
 		got <- err
 	}()
 	for p.State().Waiting == 0 {
@@ -149,7 +161,7 @@
 	g.Expect(p.State().Open).To(gomega.BeZero())
 	next, ok := group.Pool("other")
 	g.Expect(ok).To(gomega.BeTrue())
-	_, err := next.Acquire(limit, 0, nil)
+	_, err := next.Acquire(Want{Limit: limit, Patience: limit})
 	g.Expect(result.CodeOf(err)).To(gomega.Equal(result.NoServer), "the server refuses the wrong id")
 }
 
