io/elect: take a VM that cannot reach most primaries for cut off

Change: a VM that cannot reach most primaries, two at least, counts as cut off (core/lead Isolated): it is not ready, refuses at once and ends its idle sessions, so that callers reach other data centres. A primary that a VM suspects is not used any more. The order of VMs by suspicion, which nothing used, is removed.

--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -157,20 +157,9 @@
 	return 2*n > len(live)
 }
 
-// Rank returns the position of a VM among the live ones that suspect the group's primary, so that they act one after the
-// other. It is false if the VM is not among them.
-func Rank(live []Member, group, name string) (int, bool) {
-	rank := 0
-	for _, m := range live {
-		if m.name == name {
-			return rank, true
-		}
-		if m.Suspects(group) {
-			rank++
-		}
-	}
-	return rank, false
-}
+// Isolated reports whether a VM that cannot reach the primaries of unreachable of its groups is itself cut off, rather than
+// all those primaries: primaries seldom fail together, but a data centre loses all that are outside at once.
+func Isolated(unreachable, groups int) bool { return unreachable > 1 && 2*unreachable > groups }
 
 // MayOrder reports whether the VM that wrote a moving record at written may still order the promotion.
 func MayOrder(now, written time.Time) bool { return now.Sub(written) < orderWindow }
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -70,6 +70,11 @@
 				var store string
 				d.ScanArgs(t, "store", &store)
 				return strconv.FormatBool(Agreed(Live(members(t, d.Input), duration(t, store)), "g"))
+			case "isolated":
+				var unreachable, groups int
+				d.ScanArgs(t, "unreachable", &unreachable)
+				d.ScanArgs(t, "groups", &groups)
+				return strconv.FormatBool(Isolated(unreachable, groups))
 			case "holders":
 				var store string
 				d.ScanArgs(t, "store", &store)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -158,8 +158,8 @@
 	return nil
 }
 
-// Ready reports whether the VM takes new sessions. One without a lease would refuse most of their work.
-func (e *Edge) Ready() bool { return !e.stopping.Load() && e.dir.Ready() && e.elector.Holds() }
+// Ready reports whether the VM takes new sessions. One that is cut off would refuse most of their work.
+func (e *Edge) Ready() bool { return !e.stopping.Load() && e.dir.Ready() && !e.elector.Cut() }
 
 // State is a dump of the VM.
 type State struct {
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -150,18 +150,36 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	g := e.groups[group]
-	if g == nil || g.record.Phase() != lead.Stable || g.serving == 0 || !e.lease.Holds(e.clock()) {
+	if g == nil || g.record.Phase() != lead.Stable || g.serving == 0 || g.suspect || !e.lease.Holds(e.clock()) {
 		return Use{}, false
 	}
 	g.users++
 	return Use{e: e, group: group, server: g.record.Server(), version: g.serving}, true
 }
 
-// Holds reports whether the lease lasts. Without it no primary can be used until the store answers again.
-func (e *Elector) Holds() bool {
+// Cut reports whether this VM is cut off: without a lease, or from most primaries. Its callers are better served by another VM.
+func (e *Elector) Cut() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.lease.Holds(e.clock())
+	return e.cut()
+}
+
+// cut is Cut for callers that hold mu.
+func (e *Elector) cut() bool {
+	if !e.lease.Holds(e.clock()) {
+		return true
+	}
+	n, all := 0, 0
+	for _, g := range e.groups {
+		if g.record.Version() == 0 {
+			continue
+		}
+		all++
+		if g.suspect {
+			n++
+		}
+	}
+	return lead.Isolated(n, all)
 }
 
 // Version returns the version of a group's record, 0 if there is none.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -28,6 +28,8 @@
 	startLimit = 5 * time.Second
 	// startWait is how long a session waits for a configuration that names its database, which another VM may know already.
 	startWait = 300 * time.Millisecond
+	// cutInterval is how often a VM looks whether it is cut off; its idle sessions end when it is twice in a row.
+	cutInterval = 250 * time.Millisecond
 )
 
 // Conn is a caller's connection.
@@ -80,6 +82,23 @@
 		return nil, result.Wrap(result.ConnectFailed, err, "listening for callers at %s", address)
 	}
 	s := &Server{p: p, listener: l, sessions: make(map[*session]struct{})}
+	go func() {
+		t := time.NewTicker(cutInterval)
+		defer t.Stop()
+		last := false
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+			cut := p.Elector.Cut()
+			if cut && last {
+				s.moveIdle()
+			}
+			last = cut
+		}
+	}()
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -169,6 +188,17 @@
 	return s.Sessions()
 }
 
+// moveIdle ends the sessions that wait for a request, so that their callers reach a VM that can serve them.
+func (s *Server) moveIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for ss := range s.sessions {
+		if ss.phase.Load() == waitingIdle && ss.moving.CompareAndSwap(false, true) {
+			_ = ss.conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
 // endIdle ends the sessions that wait for a request; with transactions, also those inside one.
 func (s *Server) endIdle(transactions bool) {
 	s.mu.Lock()
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -201,14 +201,14 @@
 	return r.Timeout()
 }
 
-// noPrimary says why no primary can be used. Without a lease that lasts until the store answers again, so the caller is told at
-// once and can go to another VM; a primary that is being replaced is worth waiting for.
+// noPrimary says why no primary can be used. On a VM that is cut off that lasts for long, so the caller is told at once and can go
+// to another VM; a primary that is being replaced is worth waiting for.
 func (ss *session) noPrimary(r layout.Route) error {
-	if !ss.s.p.Elector.Holds() {
+	if ss.s.p.Elector.Cut() {
 		ss.leave = true
-		return result.New(result.StoreUnavailable, "this VM cannot reach the store and does not know the primary of %s", r.Group())
+		return result.New(result.StoreUnavailable, "this VM is cut off from the store or the primary of %s", r.Group())
 	}
-	return result.New(result.NoServer, "the primary of %s is being replaced", r.Group())
+	return result.New(result.NoServer, "the primary of %s cannot be reached or is being replaced", r.Group())
 }
 
 // share returns how long one server may take: the primary all the time that is left, since no other server can do its work.
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -27,12 +27,13 @@
 // txIdleDefault bounds the rest of a transaction if the configuration gives no bound.
 const txIdleDefault = 10 * time.Second
 
-// session is one caller connection. Only phase is used by other goroutines.
+// session is one caller connection. Only phase and moving are used by other goroutines.
 type session struct {
 	s        *Server
 	conn     Conn
 	database string
 	phase    atomic.Int32
+	moving   atomic.Bool // the session ends because the VM is cut off
 
 	state    query.State
 	values   map[string]string
@@ -117,6 +118,7 @@
 			return
 		}
 		_ = ss.conn.SetReadDeadline(time.Time{})
+		ss.moving.Store(false)
 		ss.phase.Store(waitingIdle)
 		return
 	}
