io/elect: judge a silent primary sooner

Change: a silence counts after 0.6 s instead of 0.9 s, a probe after 0.4 s instead of 0.6 s; while one is suspected the list of VMs is read every 0.1 s, and the VMs act 0.2 s after one another instead of 0.3 s.

--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -267,7 +267,7 @@
 
 // Limits of a judgement. A connection refused says more than a silence, which a short pause causes as well.
 const (
-	silence         = 900 * time.Millisecond
+	silence         = 600 * time.Millisecond
 	refusedSilence  = 300 * time.Millisecond
 	leastFailures   = 2
 	refusedFailures = 2
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -27,12 +27,12 @@
 	// probeAfter is how long a primary may go without an answer before it is asked for one.
 	probeAfter = 400 * time.Millisecond
 	// probeLimit is how long a status may take.
-	probeLimit = 600 * time.Millisecond
+	probeLimit = 400 * time.Millisecond
 	// memberInterval is how often the list of VMs is read while no primary is suspected, suspectInterval while one is.
 	memberInterval  = 5 * time.Second
-	suspectInterval = 250 * time.Millisecond
+	suspectInterval = 100 * time.Millisecond
 	// rankDelay lies between the VMs that may act, so that one of them does.
-	rankDelay = 300 * time.Millisecond
+	rankDelay = 200 * time.Millisecond
 	// settle is how long transactions on a primary that is to be replaced may go on before this VM confirms the change.
 	settle = 400 * time.Millisecond
 )
