io/pool: bound the statements that run on a server

Change: a VM has at most its part of four statements a slot running on a server, two at least; what waits is ordered by the route's priority, statements of open transactions first. TestRunningIsBounded shows bound and order.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -40,3 +40,18 @@
 func (g *Gate) Admits(ahead, n int, patience time.Duration) bool {
 	return g.Wait(ahead, n) <= patience
 }
+
+const (
+	// leastRunning lets a VM use a second slot while the first one runs long work.
+	leastRunning = 2
+	// perSlot is how many statements all VMs together may have on a server for each of its slots. As callers are spread
+	// unevenly over the VMs, fewer would leave slots idle.
+	perSlot = 4
+)
+
+// Running returns how many statements one of n VMs may have running at a time on a server with this many slots, so that the
+// server's own queue, which knows no priorities and refuses what exceeds it, stays short.
+func Running(slots, n int) int {
+	n = max(n, 1)
+	return max((perSlot*slots+n-1)/n, leastRunning)
+}
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -15,6 +15,11 @@
 	// Output: 60ms false
 }
 
+func ExampleRunning() {
+	fmt.Println(Running(5, 1), Running(5, 3), Running(3, 6))
+	// Output: 20 7 2
+}
+
 // load is an arrival pattern at one server.
 type load struct {
 	every    time.Duration // between two arrivals
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -251,10 +251,14 @@
 	if !st.writes && t.primary {
 		limit = time.Duration(float64(end.Sub(ss.s.p.Clock())) * 0.9)
 	}
-	res, asked, sent, err := ss.send(t.conn, st, t.after, limit)
+	res, asked, sent, err := ss.send(t.conn, st, t.after, r.Priority(), limit)
 	now := ss.s.p.Clock()
 	broken := err != nil
-	t.group.Finished(t.conn.Server(), broken)
+	t.group.Finished(t.conn.Server(), t.conn.Broken())
+	if broken && !sent && !t.conn.Broken() {
+		a.code, a.message = result.CodeOf(err), result.Message(err)
+		return a, !t.primary && now.Before(end)
+	}
 	if t.primary && sent {
 		ss.s.p.Elector.Answered(r.Group(), t.conn.Server(), asked, err == nil)
 	}
@@ -299,7 +303,7 @@
 
 // send brings the connection to the session's state and passes the statement on. Sent says that the statement itself may
 // have reached the server, at asked.
-func (ss *session) send(c *pool.Conn, st statement, after point.Point, limit time.Duration,
+func (ss *session) send(c *pool.Conn, st statement, after point.Point, priority int, limit time.Duration,
 ) (r exec.Result, asked time.Time, sent bool, err error) {
 	end := ss.s.p.Clock().Add(limit)
 	asked = ss.s.p.Clock()
@@ -315,13 +319,22 @@
 		op = exec.NewExecute(st.id, name, st.text, after)
 	}
 	asked = ss.s.p.Clock()
-	r, sent, err = c.Do(end.Sub(asked), op)
+	r, sent, err = c.Run(end.Sub(asked), ss.urgency(priority), op)
 	if err == nil && (r.Code() == result.NotFound || r.State() != query.Idle && ss.state != query.Open) {
 		c.Break()
 	}
 	return r, asked, sent, err
 }
 
+// urgency returns the priority of a statement among those that wait for a slot. A transaction holds a connection, and perhaps locks,
+// until it ends, so its statements come first.
+func (ss *session) urgency(priority int) int {
+	if ss.state == query.Open {
+		return -1
+	}
+	return priority
+}
+
 // inside runs a statement of the open transaction.
 func (ss *session) inside(st statement, now time.Time) answer {
 	if st.writes && ss.tx.readOnly {
@@ -338,7 +351,7 @@
 			a.code, a.message = result.RolledBack, "the primary is being replaced"
 			return ss.fail(a)
 		}
-		res, asked, sent, err := ss.send(ss.tx.conn, st, point.Point{}, end.Sub(ss.s.p.Clock()))
+		res, asked, sent, err := ss.send(ss.tx.conn, st, point.Point{}, ss.tx.route.Priority(), end.Sub(ss.s.p.Clock()))
 		if ss.tx.primary && sent {
 			ss.s.p.Elector.Answered(ss.tx.route.Group(), a.server, asked, err == nil)
 		}
@@ -437,7 +450,8 @@
 			break
 		}
 		asked := ss.s.p.Clock()
-		res, sent, err := ss.tx.conn.Do(end.Sub(asked), exec.NewRun(id, st.Text(), point.Point{}))
+		res, sent, err := ss.tx.conn.Run(end.Sub(asked), ss.urgency(ss.tx.route.Priority()),
+			exec.NewRun(id, st.Text(), point.Point{}))
 		if ss.tx.primary && sent {
 			ss.s.p.Elector.Answered(ss.tx.route.Group(), a.server, asked, err == nil)
 		}
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"verbenagate/core/admit"
 	"verbenagate/core/exec"
 	"verbenagate/core/fresh"
 	"verbenagate/core/layout"
@@ -58,8 +59,8 @@
 	return append([]layout.Server(nil), g.members...)
 }
 
-// update takes in the servers of the group and how many connections each pool may have.
-func (g *Group) update(members []layout.Server, share int) {
+// update takes in the servers of the group, how many connections each pool may have, and how many VMs share the servers.
+func (g *Group) update(members []layout.Server, share, vms int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	present := make(map[string]bool, len(members))
@@ -76,7 +77,7 @@
 			p = &Pool{server: s, dialer: g.dialer, clock: g.clock, log: g.log}
 			g.pools[s.ID()] = p
 		}
-		p.setLimit(share)
+		p.setLimits(share, admit.Running(s.Slots(), vms))
 	}
 	for id, p := range g.pools {
 		if !present[id] {
@@ -282,7 +283,7 @@
 			}
 			s.groups[name] = g
 		}
-		g.update(v.Group(name), layout.Share(v.Config().Limit(name), s.vms))
+		g.update(v.Group(name), layout.Share(v.Config().Limit(name), s.vms), s.vms)
 	}
 }
 
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -55,6 +55,17 @@
 	return r, sent, err
 }
 
+// Run sends a statement that occupies a slot of the server, once this VM has fewer running there than it may. Statements of a
+// lower priority number come first.
+func (c *Conn) Run(limit time.Duration, priority int, op exec.Operation) (exec.Result, bool, error) {
+	began := c.pool.clock()
+	if !c.pool.enter(limit, priority) {
+		return exec.Result{}, false, result.New(result.QueueFull, "no slot of server %s became free", c.Server())
+	}
+	defer c.pool.leave()
+	return c.Do(limit-c.pool.clock().Sub(began), op)
+}
+
 // Adopt makes the connection carry a session's values.
 func (c *Conn) Adopt(limit time.Duration, values map[string]string) error {
 	if !subset(c.values, values) {
@@ -124,6 +135,12 @@
 	got      chan *Conn
 }
 
+// runner is a statement that waits until it may run.
+type runner struct {
+	priority int
+	run      chan struct{}
+}
+
 // Pool holds the connections to one server.
 type Pool struct {
 	server layout.Server
@@ -137,6 +154,9 @@
 	idle    []*Conn
 	waiting []*waiter
 	gate    admit.Gate
+	running int // statements that occupy a slot
+	most    int // bounds running
+	queue   []*runner
 	full    time.Time // until then no connection is opened
 	closed  bool
 	refused bool // the last dial was refused by the server's machine
@@ -285,6 +305,51 @@
 	return p.refused
 }
 
+// enter waits until one more statement may run on the server.
+func (p *Pool) enter(limit time.Duration, priority int) bool {
+	p.mu.Lock()
+	if p.running < p.most {
+		p.running++
+		p.mu.Unlock()
+		return true
+	}
+	r := &runner{priority: priority, run: make(chan struct{})}
+	at, _ := slices.BinarySearchFunc(p.queue, priority+1, func(r *runner, n int) int { return r.priority - n })
+	p.queue = slices.Insert(p.queue, at, r)
+	p.mu.Unlock()
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-r.run:
+		return true
+	case <-t.C:
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.queue, r); i >= 0 {
+		p.queue = slices.Delete(p.queue, i, i+1)
+		return false
+	}
+	return true // It was let in at the same moment.
+}
+
+// leave lets the next statement run.
+func (p *Pool) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running--
+	p.admitNext()
+}
+
+// admitNext lets statements run while there is room. The caller holds mu.
+func (p *Pool) admitNext() {
+	for len(p.queue) > 0 && p.running < p.most {
+		p.running++
+		close(p.queue[0].run)
+		p.queue = slices.Delete(p.queue, 0, 1)
+	}
+}
+
 // next lets the first waiter open a connection if there is room. The caller holds mu.
 func (p *Pool) next() {
 	if len(p.waiting) == 0 || p.open >= p.limit || p.closed {
@@ -319,12 +384,13 @@
 	p.mu.Unlock()
 }
 
-// setLimit changes how many connections may be open.
-func (p *Pool) setLimit(n int) {
+// setLimits changes how many connections may be open, and how many statements may run.
+func (p *Pool) setLimits(connections, statements int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit = n
+	p.limit, p.most = connections, statements
 	p.next()
+	p.admitNext()
 }
 
 // trim closes connections that have been idle for long.
@@ -377,6 +443,9 @@
 	Open    int    `json:"open"`
 	Idle    int    `json:"idle"`
 	Waiting int    `json:"waiting"`
+	Running int    `json:"running"`
+	Most    int    `json:"most_running"`
+	Queue   int    `json:"queue"`
 }
 
 // State returns a copy of the pool's state.
@@ -385,6 +454,7 @@
 	defer p.mu.Unlock()
 	return State{
 		Server: p.server.ID(), Limit: p.limit, Open: p.open, Idle: len(p.idle), Waiting: len(p.waiting),
+		Running: p.running, Most: p.most, Queue: len(p.queue),
 	}
 }
 
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -41,7 +41,7 @@
 	for _, s := range stand.Servers() {
 		members = append(members, layout.NewServer(s.ID(), "ledger", s.Addr(), "dc0", 3, false, s.Leads(), 1))
 	}
-	g.update(members, share)
+	g.update(members, share, 1)
 	return stand, g
 }
 
@@ -139,6 +139,31 @@
 	c.Release()
 }
 
+// Guards against more statements on a server than this VM may have running there, which fill its queue, and against an urgent
+// statement that waits behind others.
+func TestRunningIsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, group := newGroup(t, 1)
+	p, _ := group.Pool("ledger-0")
+	p.setLimits(1, 1)
+	g.Expect(p.enter(limit, 1)).To(gomega.BeTrue())
+	g.Expect(p.enter(time.Millisecond, 0)).To(gomega.BeFalse())
+	order := make(chan int, 2)
+	for n, priority := range []int{2, 1} {
+		go func() {
+			p.enter(limit, priority)
+			order <- priority
+			p.leave()
+		}()
+		for p.State().Queue <= n {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	p.leave()
+	g.Expect([]int{<-order, <-order}).To(gomega.Equal([]int{1, 2}))
+	g.Expect(p.State().Running).To(gomega.BeZero())
+}
+
 // Guards against waiters that hang when the server is gone, and against a server of another id at a reused address.
 func TestServerIsReplaced(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -155,7 +180,7 @@
 	}
 	group.update([]layout.Server{
 		layout.NewServer("other", "ledger", stand.Server(0).Addr(), "dc0", 3, false, false, 2),
-	}, 1)
+	}, 1, 1)
 	g.Expect(result.CodeOf(<-got)).To(gomega.Equal(result.NoServer))
 	c.Release()
 	g.Expect(p.State().Open).To(gomega.BeZero())
