core/lead: shorten the lease to 6 s

Change: a lease lasts 6 s and is renewed every 1.25 s, so that an outage of the store of up to 4.7 s still stops nothing.

--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -17,9 +17,9 @@
 const (
 	// Length is how long a lease lasts. An outage of the store that is shorter than Length less Renewal stops no service,
 	// and a change of primary waits at most this long for a VM that cannot be reached.
-	Length = 8 * time.Second
+	Length = 6 * time.Second
 	// Renewal is the interval of renewals.
-	Renewal = 2 * time.Second
+	Renewal = 1250 * time.Millisecond
 	// drift allows for clocks that run at slightly different rates.
 	drift = 100 * time.Millisecond
 	// orderWindow is how long after its own record a VM may still order the promotion, and takeover how long the others
