io/entry: leave open transactions the first half of the time for a stop

Cause: a stop ended transactions at half of its own limit, which is 0.5 s below the grace time: 2.75 s instead of 3 s after SIGTERM. Change: the time for transactions is half of the grace time.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -184,7 +184,7 @@
 	e.stopping.Store(true)
 	e.log.Event(event.DrainPhase, zap.String("phase", "not ready"), zap.Int("sessions", e.entry.Sessions()))
 	limit := e.s.Grace() - stopReserve
-	if left := e.entry.Stop(min(linger, limit/2), limit); left > 0 {
+	if left := e.entry.Stop(min(linger, limit/2), e.s.Grace()/2, limit); left > 0 {
 		e.log.Event(event.DrainTimeout, zap.Int("sessions", left))
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -315,6 +315,30 @@
 	}
 }
 
+// Guards against a stop that ends an open transaction before the first half of the time for the stop is over.
+func TestStopLeavesTransactionsTheirTime(t *testing.T) {
+	s := newSite(t)
+	defer s.close()
+	s.startVM("a")
+	s.open("c", "a", "pay")
+	if got := s.send("c", "- BEGIN\nw1 WRITE x one"); !strings.HasSuffix(got, "T\n") {
+		t.Fatalf("no transaction: %s", got)
+	}
+	began := time.Now()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		s.command(&datadriven.TestData{Cmd: "stop-vm", CmdArgs: []datadriven.CmdArg{{Key: "a"}}})
+	}()
+	defer func() { <-stopped }()
+	if got := s.read(s.conns["c"]); got != "closed" {
+		t.Fatalf("got %s", got)
+	}
+	if half := time.Second; time.Since(began) < half {
+		t.Fatalf("the transaction was ended after %s, before %s", time.Since(began), half)
+	}
+}
+
 // Guards against a dump that cannot be encoded or lacks what an engineer looks for.
 func TestStateDump(t *testing.T) {
 	s := newSite(t)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -171,14 +171,14 @@
 	return len(s.sessions)
 }
 
-// Stop ends the sessions: idle ones after linger, those with an open transaction when it has ended or at half of limit, and
-// the listener after linger. It returns when all have ended or at limit, with the number of sessions that were cut off.
-func (s *Server) Stop(linger, limit time.Duration) int {
+// Stop ends the sessions: idle ones after linger, those with an open transaction when it has ended or after transactions. It
+// returns when all have ended or at limit, with the number of sessions that were cut off.
+func (s *Server) Stop(linger, transactions, limit time.Duration) int {
 	begin := time.Now()
 	time.Sleep(linger)
 	s.stopping.Store(true)
 	for time.Since(begin) < limit {
-		s.endIdle(time.Since(begin) > limit/2)
+		s.endIdle(time.Since(begin) > transactions)
 		if s.Sessions() == 0 {
 			break
 		}
