io/elect: compare positions by the last record that named a primary

Cause: while a group's primary was being replaced, its record's version had changed, so that reads of sessions with own writes waited for the new primary although their replicas' logs could be compared. Change: the version of the last record that named a primary decides.

--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -44,6 +44,7 @@
 type groupState struct {
 	record    lead.Record
 	seen      time.Time // when this version of the record was first seen
+	stable    uint64    // version of the last record that named a primary
 	serving   uint64    // version of the record that running work relies on; 0 after a change was confirmed
 	watch     lead.Watch
 	probing   bool
@@ -182,12 +183,13 @@
 	return lead.Isolated(n, all)
 }
 
-// Version returns the version of a group's record, 0 if there is none.
+// Version returns the version of the last record that named a primary of the group, 0 if there is none. Positions that were
+// noted with the same version lie in one history.
 func (e *Elector) Version(group string) uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if g := e.groups[group]; g != nil {
-		return g.record.Version()
+		return g.stable
 	}
 	return 0
 }
@@ -309,7 +311,7 @@
 		if r.Server() != g.record.Server() || g.record.Phase() != lead.Stable {
 			g.watch, g.suspect, g.noticed = lead.Watch{}, false, time.Time{}
 		}
-		g.serving = r.Version()
+		g.stable, g.serving = r.Version(), r.Version()
 	}
 	g.record, g.seen = r, now
 	if r.Phase() == lead.Stable {
