io/pool: close resting connections soon where there are more VMs than a server accepts

Change: where VMs are more than connections, a connection rests for 0.25 s at most; a server that has too many connections is one that answers. TestCrowdedConnectionsAreClosed.

--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -168,9 +168,11 @@
 	return list
 }
 
-// Share returns how many connections one of n VMs may open to a server that accepts limit in all. The reserve stays free
-// for VMs that have just started and do not appear in every VM's count yet.
-func Share(limit, n int) int {
-	const reserve = 2
-	return max((limit-reserve)/max(n, 1), 1)
-}
+// reserve is how many connections of a server stay free for VMs that have just started and do not appear in every VM's count yet.
+const reserve = 2
+
+// Share returns how many connections one of n VMs may open to a server that accepts limit in all.
+func Share(limit, n int) int { return max((limit-reserve)/max(n, 1), 1) }
+
+// Crowded reports whether n VMs cannot have a connection each to a server that accepts limit in all.
+func Crowded(limit, n int) bool { return n > limit-reserve }
--- a/core/layout/layout_test.go
+++ b/core/layout/layout_test.go
@@ -11,6 +11,11 @@
 	// Output: 3 1
 }
 
+func ExampleCrowded() {
+	fmt.Println(Crowded(34, 9), Crowded(58, 91))
+	// Output: false true
+}
+
 func ExampleConfig_Route() {
 	c := NewConfig(7, []Route{NewRoute("dues", "ledger", Bounded, time.Second, time.Second, time.Second, 1)},
 		map[string]int{"ledger": 34}, time.Second)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -31,8 +31,9 @@
 	linger = 2200 * time.Millisecond
 	// stopReserve is kept of the time for a stop, so that the process ends by itself.
 	stopReserve = 500 * time.Millisecond
-	// chores is the interval of work that is not urgent.
-	chores = 5 * time.Second
+	// trimInterval is how often idle connections are looked at, and chores the interval of work that is not urgent.
+	trimInterval = 200 * time.Millisecond
+	chores       = 5 * time.Second
 	// collectPercent keeps the heap small; the live heap of a VM is a few megabytes.
 	collectPercent = 60
 	readHeader     = 2 * time.Second
@@ -109,6 +110,18 @@
 		cancel()
 		return nil, err
 	}
+	go func() {
+		t := time.NewTicker(trimInterval)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+				e.set.Trim()
+			}
+		}
+	}()
 	go func() {
 		t := time.NewTicker(chores)
 		defer t.Stop()
@@ -118,7 +131,6 @@
 			case <-ctx.Done():
 				return
 			case <-t.C:
-				e.set.Trim()
 				e.metrics.Gauge(entry.Sessions).Update(float64(e.entry.Sessions()))
 				if n := lines.Dropped(); n > dropped {
 					log.Event(event.LinesDropped, zap.Int64("lines", n-dropped))
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -59,8 +59,9 @@
 	return append([]layout.Server(nil), g.members...)
 }
 
-// update takes in the servers of the group, how many connections each pool may have, and how many VMs share the servers.
-func (g *Group) update(members []layout.Server, share, vms int) {
+// update takes in the servers of the group, how many connections each pool may have, how many VMs share the servers, and whether
+// these are more than the servers accept connections.
+func (g *Group) update(members []layout.Server, share, vms int, crowded bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	present := make(map[string]bool, len(members))
@@ -77,7 +78,7 @@
 			p = &Pool{server: s, dialer: g.dialer, clock: g.clock, log: g.log}
 			g.pools[s.ID()] = p
 		}
-		p.setLimits(share, admit.Running(s.Slots(), vms))
+		p.setLimits(share, admit.Running(s.Slots(), vms), crowded)
 	}
 	for id, p := range g.pools {
 		if !present[id] {
@@ -190,7 +191,8 @@
 	end := g.clock().Add(limit)
 	c, err := p.Acquire(Want{Limit: limit, Patience: limit})
 	if err != nil {
-		return exec.ServerStatus{}, false, err
+		// A server that has too many connections runs.
+		return exec.ServerStatus{}, result.CodeOf(err) == result.TooManyCallers, err
 	}
 	defer c.Release()
 	s, err = c.Status(max(end.Sub(g.clock()), time.Millisecond))
@@ -283,7 +285,8 @@
 			}
 			s.groups[name] = g
 		}
-		g.update(v.Group(name), layout.Share(v.Config().Limit(name), s.vms), s.vms)
+		limit := v.Config().Limit(name)
+		g.update(v.Group(name), layout.Share(limit, s.vms), s.vms, layout.Crowded(limit, s.vms))
 	}
 }
 
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -24,6 +24,9 @@
 	dialTimeout = 800 * time.Millisecond
 	// idleLimit closes a connection before the server does, which ends those that rest for a minute.
 	idleLimit = 40 * time.Second
+	// crowdedLimit is how long a connection rests where there are more VMs than a server accepts connections, so that those in
+	// use go round.
+	crowdedLimit = 250 * time.Millisecond
 	// fullPause is how long no connection is opened after the server said that it has too many.
 	fullPause = 150 * time.Millisecond
 )
@@ -156,6 +159,7 @@
 	gate    admit.Gate
 	running int // statements that occupy a slot
 	most    int // bounds running
+	rest    time.Duration
 	queue   []*runner
 	full    time.Time // until then no connection is opened
 	closed  bool
@@ -384,11 +388,14 @@
 	p.mu.Unlock()
 }
 
-// setLimits changes how many connections may be open, and how many statements may run.
-func (p *Pool) setLimits(connections, statements int) {
+// setLimits changes how many connections may be open, how many statements may run, and how long connections rest.
+func (p *Pool) setLimits(connections, statements int, crowded bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit, p.most = connections, statements
+	p.limit, p.most, p.rest = connections, statements, idleLimit
+	if crowded {
+		p.rest = crowdedLimit
+	}
 	p.next()
 	p.admitNext()
 }
@@ -398,7 +405,7 @@
 	p.mu.Lock()
 	var old []*Conn
 	p.idle = slices.DeleteFunc(p.idle, func(c *Conn) bool {
-		if now.Sub(c.used) < idleLimit && p.open <= p.limit {
+		if now.Sub(c.used) < p.rest && p.open <= p.limit {
 			return false
 		}
 		old = append(old, c)
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -41,7 +41,7 @@
 	for _, s := range stand.Servers() {
 		members = append(members, layout.NewServer(s.ID(), "ledger", s.Addr(), "dc0", 3, false, s.Leads(), 1))
 	}
-	g.update(members, share, 1)
+	g.update(members, share, 1, false)
 	return stand, g
 }
 
@@ -145,7 +145,7 @@
 	g := gomega.NewWithT(t)
 	_, group := newGroup(t, 1)
 	p, _ := group.Pool("ledger-0")
-	p.setLimits(1, 1)
+	p.setLimits(1, 1, false)
 	g.Expect(p.enter(limit, 1)).To(gomega.BeTrue())
 	g.Expect(p.enter(time.Millisecond, 0)).To(gomega.BeFalse())
 	order := make(chan int, 2)
@@ -180,7 +180,7 @@
 	}
 	group.update([]layout.Server{
 		layout.NewServer("other", "ledger", stand.Server(0).Addr(), "dc0", 3, false, false, 2),
-	}, 1, 1)
+	}, 1, 1, false)
 	g.Expect(result.CodeOf(<-got)).To(gomega.Equal(result.NoServer))
 	c.Release()
 	g.Expect(p.State().Open).To(gomega.BeZero())
@@ -190,6 +190,20 @@
 	g.Expect(result.CodeOf(err)).To(gomega.Equal(result.NoServer), "the server refuses the wrong id")
 }
 
+// Guards against VMs that keep others from a server by connections that rest, where there are more VMs than connections.
+func TestCrowdedConnectionsAreClosed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, group := newGroup(t, 1)
+	p, _ := group.Pool("ledger-0")
+	for crowded, want := range map[bool]int{true: 0, false: 1} {
+		p.setLimits(1, 1, crowded)
+		acquire(t, group, "ledger-0", nil).Release()
+		p.trim(time.Now().Add(crowdedLimit))
+		g.Expect(p.State().Open).To(gomega.Equal(want), "crowded %v", crowded)
+		p.dropIdle()
+	}
+}
+
 // Guards against a dump that cannot be encoded.
 func TestStateIsEncoded(t *testing.T) {
 	_, group := newGroup(t, 1)
