core/lead: have seven VMs watch a primary

Cause: every VM asked every primary for its status 2.5 times a second: at 91 VMs 1,800 a second, for most of which a connection was opened. Change: the first seven VMs in rendezvous order of the group's name watch its primary; most of them must agree that it cannot be reached. A VM that does not watch still judges by its own callers' work.

--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"verbenagate/core/owner"
 	"verbenagate/core/point"
 )
 
@@ -146,15 +147,35 @@
 	return n
 }
 
-// Agreed reports whether most live VMs cannot reach the primary of group. A VM alone may be the one that is cut off.
-func Agreed(live []Member, group string) bool {
-	n := 0
+// watchers is how many VMs watch a primary. More would not make a judgement safer, but each of them takes a connection and asks the
+// server several times a second.
+const watchers = 7
+
+// Watchers returns those of the live VMs that watch the primary of group, the same ones on every VM with the same list.
+func Watchers(live []Member, group string) []Member {
+	names := make([]string, 0, len(live))
 	for _, m := range live {
+		names = append(names, m.name)
+	}
+	top := owner.Top(group, names, watchers)
+	var chosen []Member
+	for _, m := range live {
+		if slices.Contains(top, m.name) {
+			chosen = append(chosen, m)
+		}
+	}
+	return chosen
+}
+
+// Agreed reports whether most of the VMs that watch it cannot reach the primary of group. A VM alone may be the one that is cut off.
+func Agreed(watching []Member, group string) bool {
+	n := 0
+	for _, m := range watching {
 		if m.Suspects(group) {
 			n++
 		}
 	}
-	return 2*n > len(live)
+	return 2*n > len(watching)
 }
 
 // Isolated reports whether a VM that cannot reach the primaries of unreachable of its groups is itself cut off, rather than
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -29,6 +30,27 @@
 	// Output: [silent]
 }
 
+// Guards against VMs that do not agree on who watches a primary, and against a load of the servers that grows with the VMs.
+func TestWatchers(t *testing.T) {
+	var live []Member
+	for i := range 91 {
+		live = append(live, NewMember(fmt.Sprint("vm", i), 1, time.Second, nil))
+	}
+	a := Watchers(live, "g")
+	if len(a) != watchers {
+		t.Fatalf("%d VMs watch", len(a))
+	}
+	for _, m := range a {
+		live = slices.DeleteFunc(live, func(l Member) bool { return l.name == m.name })
+	}
+	if b := Watchers(append(live, a...), "g"); len(b) != len(a) {
+		t.Fatalf("%d VMs watch with another order of the list", len(b))
+	}
+	if b := Watchers(a[:2], "g"); len(b) != 2 {
+		t.Fatalf("%d of 2 VMs watch", len(b))
+	}
+}
+
 var start = time.Unix(1000, 0)
 
 // TestScripts runs the decisions of the files in _fixtures. It guards against a lease that outlives what the store knows of
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -66,18 +66,18 @@
 	log    logs.Logger
 	renew  chan struct{}
 
-	mu        sync.Mutex
-	groups    map[string]*groupState
-	epoch     uint64
-	known     bool // the records have been read
-	lease     lead.Lease
-	held      bool
-	store     lead.StoreClock
-	own       uint64 // version of this VM's row
-	members   []lead.Member
-	membersAt time.Time
-	changed   chan struct{} // closed and replaced when a record or the lease changes
-	stopping  bool
+	mu       sync.Mutex
+	groups   map[string]*groupState
+	epoch    uint64
+	known    bool // the records have been read
+	lease    lead.Lease
+	held     bool
+	store    lead.StoreClock
+	own      uint64 // version of this VM's row
+	members  []lead.Member
+	watching map[string][]lead.Member // by group; made from members
+	changed  chan struct{}            // closed and replaced when a record or the lease changes
+	stopping bool
 }
 
 // New starts the elector of the VM name; it ends with ctx.
@@ -475,7 +475,7 @@
 	}
 	e.mu.Lock()
 	e.store.Heard(sent, s.Clock)
-	e.members, e.membersAt = lead.Live(members, s.Clock), sent
+	e.members, e.watching = lead.Live(members, s.Clock), make(map[string][]lead.Member)
 	n := lead.Holders(members, s.Clock)
 	e.mu.Unlock()
 	e.set.SetVMs(n)
@@ -484,14 +484,34 @@
 func (e *Elector) memberPause() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, g := range e.groups {
-		if g.suspect || !g.noticed.IsZero() {
+	for name, g := range e.groups {
+		if (g.suspect || !g.noticed.IsZero()) && e.watches(name) {
 			return suspectInterval
 		}
 	}
 	return memberInterval
 }
 
+// watchersOf returns the VMs that watch the primary of a group. The caller holds mu.
+func (e *Elector) watchersOf(group string) []lead.Member {
+	w, ok := e.watching[group]
+	if !ok {
+		w = lead.Watchers(e.members, group)
+		if e.watching != nil {
+			e.watching[group] = w
+		}
+	}
+	return w
+}
+
+// watches reports whether this VM watches the primary of a group; it does until it has read the list of VMs. The caller holds mu.
+func (e *Elector) watches(group string) bool {
+	if len(e.members) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(e.watchersOf(group), func(m lead.Member) bool { return m.Name() == e.name })
+}
+
 // Stop ends the replacing of primaries by this VM and removes it from the list once its work has ended.
 func (e *Elector) Stop(ctx context.Context) {
 	e.mu.Lock()
--- a/io/elect/judge.go
+++ b/io/elect/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -80,28 +81,29 @@
 	}
 	switch {
 	case g.record.Version() == 0:
-		return e.start(g, now, found), lead.Record{}
+		return e.start(name, g, now, found), lead.Record{}
 	case g.record.Phase() == lead.Moving:
 		if !lead.MayTakeOver(now, g.seen) {
 			return nothing, lead.Record{}
 		}
-		return e.start(g, now, resume), g.record
+		return e.start(name, g, now, resume), g.record
 	}
 	server, registered := view.Server(g.record.Server())
 	if !registered || server.Draining() {
-		return e.start(g, now, replace), g.record
+		return e.start(name, g, now, replace), g.record
 	}
 	if a := e.suspect(g, now, pg.Refused(g.record.Server()), name); a != nothing {
 		return a, g.record
 	}
-	if !g.probing && now.Sub(g.watch.Success()) > probeAfter {
+	if !g.probing && now.Sub(g.watch.Success()) > probeAfter && (g.suspect || e.watches(name)) {
 		g.probing = true
 		return probe, g.record
 	}
 	return nothing, lead.Record{}
 }
 
-// suspect publishes that the primary cannot be reached, and replaces it once most VMs have said so. The caller holds mu.
+// suspect publishes that the primary cannot be reached, and replaces it once most of those that watch it have said so. The caller
+// holds mu.
 func (e *Elector) suspect(g *groupState, now time.Time, refused bool, name string) action {
 	unreachable := g.watch.Unreachable(now, refused)
 	if unreachable != g.suspect {
@@ -112,12 +114,14 @@
 		} else {
 			g.noticed = time.Time{}
 		}
-		e.wake()
+		if e.watches(name) {
+			e.wake()
+		}
 	}
-	if !unreachable || !lead.Agreed(e.members, name) {
+	if !unreachable || !e.watches(name) || !lead.Agreed(e.watchersOf(name), name) {
 		return nothing
 	}
-	return e.start(g, now, replace)
+	return e.start(name, g, now, replace)
 }
 
 // unreachable reports whether this VM suspects the primary of a group.
@@ -128,15 +132,14 @@
 }
 
 // start lets this VM act after those that come before it. The caller holds mu.
-func (e *Elector) start(g *groupState, now time.Time, a action) action {
+func (e *Elector) start(name string, g *groupState, now time.Time, a action) action {
 	if g.noticed.IsZero() {
 		g.noticed = now
 	}
-	rank := len(e.members)
-	for i, m := range e.members {
-		if m.Name() == e.name {
-			rank = i
-		}
+	watching := e.watchersOf(name)
+	rank := slices.IndexFunc(watching, func(m lead.Member) bool { return m.Name() == e.name })
+	if rank < 0 {
+		rank = len(watching)
 	}
 	if now.Sub(g.noticed) < time.Duration(rank)*rankDelay {
 		return nothing
