io/watch: take changes that come together with one call of the store

Change: after a change of the configuration or the servers the next call waits 0.25 s. The records of primaries are followed without a wait.

--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -88,7 +88,7 @@
 		name: name, rows: rows, orders: orders, set: set, view: view, clock: clock, log: log,
 		renew: make(chan struct{}, 1), groups: make(map[string]*groupState), changed: make(chan struct{}),
 	}
-	go watch.Follow(ctx, rows, leadTable, clock, (*follower)(e))
+	go watch.Follow(ctx, rows, leadTable, 0, clock, (*follower)(e))
 	go func() {
 		for ctx.Err() == nil {
 			e.renewOnce(ctx)
--- a/io/watch/directory.go
+++ b/io/watch/directory.go
@@ -19,6 +19,9 @@
 // is gone.
 const returnTime = 2300 * time.Millisecond
 
+// gather is how long changes of the configuration and of the servers may come together; they have seconds to be in force.
+const gather = 250 * time.Millisecond
+
 // Source names the tables of the configuration and of the servers and reads their rows.
 type Source struct {
 	ConfigTable, ConfigKey string
@@ -74,8 +77,8 @@
 		servers: make(map[string]layout.Server), missing: make(map[string]time.Time),
 	}
 	d.view.Store(&View{servers: map[string]layout.Server{}})
-	go Follow(ctx, rows, source.ConfigTable, clock, (*configFollower)(d))
-	go Follow(ctx, rows, source.ServerTable, clock, (*serverFollower)(d))
+	go Follow(ctx, rows, source.ConfigTable, gather, clock, (*configFollower)(d))
+	go Follow(ctx, rows, source.ServerTable, gather, clock, (*serverFollower)(d))
 	go func() {
 		for ctx.Err() == nil {
 			pause(ctx, 200*time.Millisecond)
--- a/io/watch/follow.go
+++ b/io/watch/follow.go
@@ -29,8 +29,9 @@
 	Down(err error)
 }
 
-// Follow keeps a follower current until ctx ends.
-func Follow(ctx context.Context, rows port.Rows, table string, clock func() time.Time, f Follower) {
+// Follow keeps a follower current until ctx ends. After a change it waits for gather before it asks for the next one, so that
+// changes that come together cost one call.
+func Follow(ctx context.Context, rows port.Rows, table string, gather time.Duration, clock func() time.Time, f Follower) {
 	backoff := retry.NewBackoff(firstRetry, mostRetry)
 	listed, failures := false, 0
 	var version uint64
@@ -56,6 +57,9 @@
 		case listed:
 			failures, version = 0, max(version, s.Version)
 			f.Change(sent, s)
+			if len(s.Rows) > 0 && gather > 0 {
+				pause(ctx, gather)
+			}
 		default:
 			listed, failures, version = true, 0, s.Version
 			f.Reset(sent, s)
