--- a/core/fresh/fresh.go
+++ b/core/fresh/fresh.go
@@ -57,10 +57,5 @@
 	return h.latest.point, !h.latest.asked.IsZero() && !h.latest.asked.Before(oldest)
 }
 
-// Age returns how long ago the primary was asked for the newest position; false if it never was.
-func (h *History) Age(now time.Time) (time.Duration, bool) {
-	return now.Sub(h.latest.asked), !h.latest.asked.IsZero()
-}
-
 // Reset drops all marks, as positions of another primary's history do not compare.
 func (h *History) Reset() { *h = History{} }
--- a/core/fresh/fresh_test.go
+++ b/core/fresh/fresh_test.go
@@ -59,9 +59,6 @@
 	if p, ok := h.Required(now, time.Second); ok {
 		t.Fatalf("got %s after a reset", p)
 	}
-	if _, ok := h.Age(now); ok {
-		t.Fatal("an empty history has an age")
-	}
 }
 
 // Guards against an answer that arrives out of order and hides a newer position.
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -27,6 +27,8 @@
 	rollbackLimit = 500 * time.Millisecond
 	// firstShare is the share of a read's time that its first server gets, so that a lost answer leaves time for a second.
 	firstShare = 0.6
+	// primaryShare is that of a read on the primary, where a second try can only use another connection.
+	primaryShare = 0.9
 	// mostServers bounds the servers that a statement is sent to.
 	mostServers = 4
 )
@@ -248,8 +250,11 @@
 	defer t.release()
 	a = answer{server: t.conn.Server()}
 	limit := ss.share(end, t.primary)
+	if t.primary {
+		a.leader = t.use.Version()
+	}
 	if !st.writes && t.primary {
-		limit = time.Duration(float64(end.Sub(ss.s.p.Clock())) * 0.9)
+		limit = time.Duration(float64(limit) * primaryShare)
 	}
 	res, asked, sent, err := ss.send(t.conn, st, t.after, r.Priority(), limit)
 	now := ss.s.p.Clock()
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -140,6 +140,7 @@
 	code      result.Code
 	message   string
 	server    string
+	leader    uint64 // version of the primary's record that the statement relied on
 	tries     int
 	after     func()
 }
@@ -163,13 +164,16 @@
 		return
 	}
 	took := ss.s.p.Clock().Sub(began)
+	if ss.tx.primary {
+		a.leader = ss.tx.use.Version()
+	}
 	name := result.Lookup(a.code).Name()
 	ss.s.p.Metrics.Counter(Statements, name).Inc(1)
 	ss.s.p.Metrics.Histogram(StatementSeconds).Observe(took.Seconds())
 	ss.s.p.Log.Event(event.StatementDone, zap.String("id", id), zap.String("database", ss.database),
 		zap.String("result", name), zap.String("message", a.message), zap.String("server", a.server),
 		zap.Int("tries", a.tries), zap.Duration("took", took), zap.String("state", ss.state.String()),
-		zap.Uint64("config", ss.s.p.View().Config().Version()), zap.Uint64("leader", ss.tx.use.Version()),
+		zap.Uint64("config", ss.s.p.View().Config().Version()), zap.Uint64("leader", a.leader),
 		zap.String("required", ss.required.String()))
 }
 
