io/elect: list the records again only when the epoch has changed

Cause: each failed renewal was followed by a list of the records, which fails too while the store is away and is paid for. Change: only a conflict, which says that the epoch or the own row has changed, leads to a list.

--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -33,6 +33,8 @@
 	suspectInterval = 100 * time.Millisecond
 	// rankDelay lies between the VMs that may act, so that one of them does.
 	rankDelay = 200 * time.Millisecond
+	// retryFirst is the shortest delay after a renewal that failed, and half of the longest one.
+	retryFirst = 150 * time.Millisecond
 	// settle is how long transactions on a primary that is to be replaced may go on before this VM confirms the change.
 	settle = 400 * time.Millisecond
 )
@@ -346,11 +348,10 @@
 func (e *Elector) renewOnce(ctx context.Context) {
 	next := lead.Renewal
 	if err := e.renewNow(ctx); err != nil {
-		next = 150*time.Millisecond + time.Duration(retry.Jitter()*float64(150*time.Millisecond))
+		next = retryFirst + time.Duration(retry.Jitter()*float64(retryFirst))
 		if !errors.Is(err, port.ErrConflict) {
 			e.log.Event(event.StoreDown, zap.String("table", memberTable), zap.Error(err))
-		}
-		if e.reload(ctx) == nil && errors.Is(err, port.ErrConflict) {
+		} else if e.reload(ctx) == nil {
 			next = 0
 		}
 		e.mu.Lock()
