--- a/core/route/route.go
+++ b/core/route/route.go
@@ -108,7 +108,8 @@
 	return Member{address: address, dataCentre: dataCentre, slots: slots}
 }
 
-// NewTable returns a table for a VM in the data centre home.
+// NewTable returns a table for a VM in the data centre home. Of servers that cost the same, the one that comes first in members
+// is chosen.
 func NewTable(home string, members []Member, costs Costs) *Table {
 	t := &Table{home: home, costs: costs}
 	for _, m := range members {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -87,7 +87,7 @@
 	e := &Edge{
 		s: s, log: log, lines: lines, cancel: cancel,
 		metrics: metric.NewSet(entry.Catalog(metric.NewRegistry()), metric.ReportInterval),
-		set:     pool.NewSet(s.DataCentre(), a.Dialer, s.VMs(), Clock, log),
+		set:     pool.NewSet(s.VM(), s.DataCentre(), a.Dialer, s.VMs(), Clock, log),
 	}
 	log.Event(event.NodeStarted, zap.String("vm", s.VM()), zap.String("data_centre", s.DataCentre()))
 	var elector atomic.Pointer[elect.Elector]
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -9,6 +9,7 @@
 	"verbenagate/core/exec"
 	"verbenagate/core/fresh"
 	"verbenagate/core/layout"
+	"verbenagate/core/owner"
 	"verbenagate/core/point"
 	"verbenagate/core/port"
 	"verbenagate/core/result"
@@ -29,6 +30,7 @@
 // Group is what this VM knows of one group of servers.
 type Group struct {
 	name   string
+	vm     string
 	home   string
 	clock  func() time.Time
 	dialer port.Dialer
@@ -93,11 +95,18 @@
 	}
 }
 
-// rebuild makes a new routing table. The caller holds mu.
+// rebuild makes a new routing table. Each VM has its own order of preference among servers that cost the same: with one order
+// for all, the VMs of data centres without a replica would all read from the same one. The caller holds mu.
 func (g *Group) rebuild() {
-	var members []route.Member
+	ids := make([]string, 0, len(g.members))
+	known := make(map[string]layout.Server, len(g.members))
 	for _, s := range g.members {
-		members = append(members, route.NewMember(s.ID(), s.DataCentre(), s.Slots()))
+		ids = append(ids, s.ID())
+		known[s.ID()] = s
+	}
+	members := make([]route.Member, 0, len(ids))
+	for _, id := range owner.Order(g.vm, ids) {
+		members = append(members, route.NewMember(id, known[id].DataCentre(), known[id].Slots()))
 	}
 	g.table = route.NewTable(g.home, members, route.NewCosts(remoteCost, primaryCost))
 	for _, s := range g.members {
@@ -235,6 +244,7 @@
 
 // Set holds all groups.
 type Set struct {
+	vm     string
 	home   string
 	dialer port.Dialer
 	clock  func() time.Time
@@ -246,10 +256,10 @@
 	view   *watch.View
 }
 
-// NewSet returns the groups as seen from the data centre home. Vms is the number of VMs that share the servers until
+// NewSet returns the groups as seen by a VM in the data centre home. Vms is the number of VMs that share the servers until
 // SetVMs tells it.
-func NewSet(home string, dialer port.Dialer, vms int, clock func() time.Time, log logs.Logger) *Set {
-	return &Set{home: home, dialer: dialer, clock: clock, log: log, groups: make(map[string]*Group), vms: vms}
+func NewSet(vm, home string, dialer port.Dialer, vms int, clock func() time.Time, log logs.Logger) *Set {
+	return &Set{vm: vm, home: home, dialer: dialer, clock: clock, log: log, groups: make(map[string]*Group), vms: vms}
 }
 
 // Group returns a group of the configuration.
@@ -280,7 +290,7 @@
 		g, ok := s.groups[name]
 		if !ok {
 			g = &Group{
-				name: name, home: s.home, clock: s.clock, dialer: s.dialer, log: s.log, pools: make(map[string]*Pool),
+				name: name, vm: s.vm, home: s.home, clock: s.clock, dialer: s.dialer, log: s.log, pools: make(map[string]*Pool),
 				table: route.NewTable(s.home, nil, route.NewCosts(remoteCost, primaryCost)),
 			}
 			s.groups[name] = g
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -16,6 +16,7 @@
 	"verbenagate/core/point"
 	"verbenagate/core/query"
 	"verbenagate/core/result"
+	"verbenagate/core/route"
 	"verbenagate/io/watch"
 	"verbenagate/lab/lines"
 	"verbenagate/platform"
@@ -34,9 +35,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(stand.Close)
-	set := NewSet("dc0", platform.NewDialer("vm"), 1, time.Now, silent{})
+	set := NewSet("vm", "dc0", platform.NewDialer("vm"), 1, time.Now, silent{})
 	set.Update(new(watch.View))
-	g := &Group{name: "ledger", home: "dc0", clock: time.Now, dialer: set.dialer, log: silent{}, pools: make(map[string]*Pool)}
+	g := &Group{name: "ledger", vm: "vm", home: "dc0", clock: time.Now, dialer: set.dialer, log: silent{}, pools: make(map[string]*Pool)}
 	var members []layout.Server
 	for _, s := range stand.Servers() {
 		members = append(members, layout.NewServer(s.ID(), "ledger", s.Addr(), "dc0", 3, false, s.Leads(), 1))
@@ -212,3 +213,33 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against VMs of data centres without a replica that all read from the same one, which is then overloaded while the
+// other has slots free.
+func TestReadsSpreadOverReplicas(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const vms = 91
+	chosen := make(map[string]int)
+	for i := range vms {
+		home := fmt.Sprint("dc", i%4)
+		set := NewSet(fmt.Sprint("vm-", i), home, platform.NewDialer("vm"), vms, time.Now, silent{})
+		set.Update(new(watch.View))
+		group := &Group{name: "ledger", vm: set.vm, home: home, clock: time.Now, log: silent{}, pools: make(map[string]*Pool)}
+		var members []layout.Server
+		for n := range 3 {
+			members = append(members, layout.NewServer(fmt.Sprint("s", n), "ledger", "", fmt.Sprint("dc", n), 3, false, n == 0, 1))
+		}
+		group.update(members, 1, vms, true)
+		group.Lead("s0", 1)
+		for n := range 3 {
+			group.Learn(fmt.Sprint("s", n), time.Now(), point.New(1, 10), true)
+		}
+		id, ok := group.Choose(route.NewAtLeast(point.New(1, 10)), nil)
+		g.Expect(ok).To(gomega.BeTrue())
+		chosen[id]++
+	}
+	g.Expect(chosen["s0"]).To(gomega.BeZero(), "the primary")
+	for _, id := range []string{"s1", "s2"} {
+		g.Expect(chosen[id]).To(gomega.BeNumerically(">=", vms*2/5), id)
+	}
+}
