--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -43,6 +43,7 @@
 	LeaseRenewed      ID = 706
 	LeaseLost         ID = 707
 	LeadersKnown      ID = 708
+	ReplicasBehind    ID = 709
 	ConfigApplied     ID = 800
 	ConfigOlder       ID = 801
 	ConfigRefused     ID = 802
@@ -98,6 +99,7 @@
 	{LeaseRenewed, LayerFailov, "lease on the primaries' records obtained", "None."},
 	{LeaseLost, LayerFailov, "lease on the primaries' records ended", "Check the path to the platform's store; work that needs a primary is refused until the lease is renewed."},
 	{LeadersKnown, LayerFailov, "servers asked before a promotion", "None."},
+	{ReplicasBehind, LayerFailov, "all replicas apply the log far behind", "Check the replicas; the primary is replaced by one of them so that the group has a replica that serves reads."},
 	{ConfigApplied, LayerConfig, "configuration revision in force", "None."},
 	{ConfigOlder, LayerConfig, "store holds an older configuration", "Find out why the store went back; the VMs keep the newer one."},
 	{ConfigRefused, LayerConfig, "configuration change refused", "Correct the errors listed, or base the change on the current revision."},
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -54,12 +54,13 @@
 var start = time.Unix(1000, 0)
 
 // TestScripts runs the decisions of the files in _fixtures. It guards against a lease that outlives what the store knows of
-// it, and against promotions that are needless, come too early or are ordered twice.
+// it, and against promotions that are needless, come too early or are ordered twice, also those that relieve a primary.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "_fixtures", func(t *testing.T, path string) {
 		var l Lease
 		var c StoreClock
 		var w Watch
+		var b Backlog
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			at := func(key string) time.Time {
 				var text string
@@ -104,6 +105,17 @@
 			case "best":
 				best, ok := Best(candidates(t, d.Input))
 				return fmt.Sprint(best.ID(), " ", ok)
+			case "prompt":
+				var store string
+				d.ScanArgs(t, "store", &store)
+				return strconv.FormatBool(Prompt(members(t, d.Input), duration(t, store)))
+			case "survey":
+				var primary string
+				d.ScanArgs(t, "primary", &primary)
+				b.Surveyed(position(t, primary), replicas(t, d.Input), !d.HasArg("incomplete"))
+				return strconv.Itoa(b.surveys)
+			case "persists":
+				return strconv.FormatBool(b.Persists(at("now"), at("led")))
 			case "failed":
 				w.Failed(at("asked"))
 				return ""
@@ -149,6 +161,24 @@
 	return all
 }
 
+func position(t *testing.T, text string) point.Point {
+	var term, number uint64
+	if _, err := fmt.Sscanf(text, "%d/%d", &term, &number); err != nil {
+		t.Fatal(err)
+	}
+	return point.New(term, number)
+}
+
+// replicas reads lines "TERM/POSITION LAG".
+func replicas(t *testing.T, input string) []Replica {
+	var all []Replica
+	for l := range strings.Lines(input) {
+		f := strings.Fields(l)
+		all = append(all, NewReplica(position(t, f[0]), duration(t, f[1])))
+	}
+	return all
+}
+
 // candidates reads lines "ID TERM POSITION".
 func candidates(t *testing.T, input string) []Candidate {
 	var all []Candidate
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -204,6 +204,9 @@
 	case "mute":
 		s.group.Server(number(0)).Mute(arg(1), arg(2) == "on")
 		return ""
+	case "lag":
+		s.group.Server(number(0)).SetLag(time.Minute)
+		return ""
 	case "register":
 		s.register(number(0), arg(1))
 		return ""
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -35,6 +35,8 @@
 	rankDelay = 200 * time.Millisecond
 	// retryFirst is the shortest delay after a renewal that failed, and half of the longest one.
 	retryFirst = 150 * time.Millisecond
+	// surveyInterval is how often the servers of a group are asked how far they are.
+	surveyInterval = 700 * time.Millisecond
 	// settle is how long transactions on a primary that is to be replaced may go on before this VM confirms the change.
 	settle = 400 * time.Millisecond
 )
@@ -55,6 +57,10 @@
 	driving   bool
 	users     int // transactions and statements that use the primary
 	confirmBy time.Time
+	backlog   lead.Backlog
+	surveying bool
+	surveyed  time.Time
+	relieve   bool // the primary is to be replaced because its replicas are far behind
 }
 
 // Elector is safe for concurrent use.
@@ -312,6 +318,8 @@
 	if r.Phase() == lead.Stable {
 		if r.Server() != g.record.Server() || g.record.Phase() != lead.Stable {
 			g.watch, g.suspect, g.noticed = lead.Watch{}, false, time.Time{}
+			g.relieve = false
+			g.backlog.Reset()
 		}
 		g.stable, g.serving = r.Version(), r.Version()
 	}
--- a/io/elect/judge.go
+++ b/io/elect/judge.go
@@ -24,6 +24,8 @@
 	found          // write the first record of a group
 	replace        // replace the primary
 	resume         // go on where another VM has stopped replacing it
+	survey         // ask all servers how far they are
+	relieve        // replace a primary that does the work of replicas which are far behind
 )
 
 // judge looks at each group's primary and starts what is needed.
@@ -42,7 +44,11 @@
 		case found:
 			go e.drive(name, func() { e.writeFirst(ctx, pg, name) })
 		case replace, resume:
-			go e.drive(name, func() { e.move(ctx, pg, name, r) })
+			go e.drive(name, func() { e.move(ctx, pg, name, r, false) })
+		case relieve:
+			go e.drive(name, func() { e.move(ctx, pg, name, r, true) })
+		case survey:
+			go e.survey(ctx, pg, name, r.Server())
 		case nothing:
 		}
 	}
@@ -99,7 +105,30 @@
 		g.probing = true
 		return probe, g.record
 	}
-	return nothing, lead.Record{}
+	return e.attend(g, now, name), g.record
+}
+
+// attend has the first of the VMs that watch a primary survey its replicas, and replace the primary if that relieves it. The
+// caller holds mu.
+func (e *Elector) attend(g *groupState, now time.Time, name string) action {
+	switch {
+	case g.suspect || g.surveying || !e.first(name):
+		return nothing
+	case g.relieve:
+		g.relieve = false
+		g.backlog.Reset()
+		return e.start(name, g, now, relieve)
+	case now.Sub(g.surveyed) >= surveyInterval:
+		g.surveying, g.surveyed = true, now
+		return survey
+	}
+	return nothing
+}
+
+// first reports whether this VM is the first of those that watch the primary of a group. The caller holds mu.
+func (e *Elector) first(group string) bool {
+	watching := e.watchersOf(group)
+	return len(watching) > 0 && watching[0].Name() == e.name
 }
 
 // suspect publishes that the primary cannot be reached, and replaces it once most of those that watch it have said so. The caller
--- a/io/elect/move.go
+++ b/io/elect/move.go
@@ -34,12 +34,14 @@
 // errTakenOver says that another VM has written the record since.
 var errTakenOver = errors.New("another VM replaces the primary")
 
-// move replaces a group's primary. It ends early when another VM has taken over.
-func (e *Elector) move(ctx context.Context, pg *pool.Group, group string, old lead.Record) {
+// move replaces a group's primary. It ends early when another VM has taken over. With keep, the primary serves and stays
+// unless a replica has received all that it committed.
+func (e *Elector) move(ctx context.Context, pg *pool.Group, group string, old lead.Record, keep bool) {
 	began := e.clock()
 	e.log.Event(event.PromotionStarted, zap.String("group", group), zap.String("server", old.Server()),
-		zap.Uint64("version", old.Version()), zap.Bool("resumed", old.Phase() == lead.Moving))
-	m := &mover{e: e, pg: pg, group: group, record: old, old: old.Server()}
+		zap.Uint64("version", old.Version()), zap.Bool("resumed", old.Phase() == lead.Moving),
+		zap.Bool("keep", keep))
+	m := &mover{e: e, pg: pg, group: group, record: old, old: old.Server(), keep: keep}
 	server, err := m.run(ctx)
 	if err != nil {
 		e.log.Event(event.PromotionFailed, zap.String("group", group), zap.Error(err))
@@ -56,6 +58,7 @@
 	pg      *pool.Group
 	group   string
 	old     string
+	keep    bool
 	record  lead.Record
 	written time.Time
 }
@@ -157,8 +160,9 @@
 	unreachable := m.e.unreachable(m.group)
 	for try := 1; ctx.Err() == nil; try++ {
 		candidates, old, others := m.ask(!unreachable || m.e.clock().Sub(began) > catchUp)
-		if len(candidates) == 0 && old.Primary() && m.e.clock().Sub(began) > catchUp {
-			return old, nil // The old primary is back, and no other server can be reached.
+		late := m.e.clock().Sub(began) > catchUp
+		if (len(candidates) == 0 || m.keep) && old.Primary() && late {
+			return old, nil // The old primary serves, and no other server may replace it.
 		}
 		for _, c := range candidates {
 			if c.Primary() {
@@ -166,8 +170,8 @@
 			}
 		}
 		best, ok := lead.Best(candidates)
-		if ok && (len(candidates) == others || try >= fewStatuses) && (best.Received().Covers(old.Received()) ||
-			m.e.clock().Sub(began) > catchUp) {
+		caught := best.Received().Covers(old.Received()) && (!m.keep || old.Primary())
+		if ok && (len(candidates) == others || try >= fewStatuses) && (caught || late) {
 			return best, nil
 		}
 		if m.e.clock().Sub(m.written) > refresh {
--- a/lab/lines/lines.go
+++ b/lab/lines/lines.go
@@ -9,6 +9,7 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 )
 
 // commit is one entry of the log.
@@ -47,6 +48,7 @@
 	log      []commit
 	mute     map[string]bool // verbs whose answers are lost after their effect
 	busy     bool            // statements are refused for want of a slot
+	lag      time.Duration   // how far behind it says that it applies the log while it follows
 	conns    map[net.Conn]struct{}
 	down     bool
 }
@@ -111,7 +113,7 @@
 	term := g.leader().term + 1
 	for _, s := range g.servers {
 		if s.id == id && !s.down {
-			s.leads, s.term = true, term
+			s.leads, s.term, s.lag = true, term, 0
 			return nil
 		}
 	}
@@ -152,6 +154,13 @@
 	s.busy = on
 }
 
+// SetLag has the server say that it applies the log this late while it follows a leader. It lasts until it leads.
+func (s *Server) SetLag(d time.Duration) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	s.lag = d
+}
+
 // Data returns what the server's log holds for an item, oldest first.
 func (s *Server) Data(item string) []string {
 	s.g.mu.Lock()
@@ -380,7 +389,8 @@
 	if ss.s.leads {
 		role = "primary"
 	}
-	return fmt.Sprintf("ROW %s %d %d.%d 0 0 0 %d\r\n%s", role, ss.s.term, ss.s.term, len(ss.s.log), len(ss.s.conns), done)
+	return fmt.Sprintf("ROW %s %d %d.%d 0 %d 0 %d\r\n%s", role, ss.s.term, ss.s.term, len(ss.s.log), ss.s.lag.Milliseconds(),
+		len(ss.s.conns), done)
 }
 
 // note records a caller's statement.
