--- a/core/lead/backlog.go
+++ b/core/lead/backlog.go
@@ -38,8 +38,8 @@
 	surveys int
 }
 
-// Surveyed notes a survey: the primary's position and all replicas. One that does not answer is left out of replicas, and
-// complete is false then.
+// Surveyed notes a survey: the primary's position and its replicas. One that does not answer is left out of replicas, and
+// complete is false then. Such a survey does not confirm the backlog, but may disprove it.
 func (b *Backlog) Surveyed(primary point.Point, replicas []Replica, complete bool) {
 	last := b.primary
 	b.primary = primary
@@ -51,11 +51,13 @@
 		}
 		streams = streams || r.received.Covers(last)
 	}
-	if !complete || !streams {
+	switch {
+	case !complete:
+	case streams:
+		b.surveys++
+	default:
 		b.surveys = 0
-		return
 	}
-	b.surveys++
 }
 
 // Persists reports whether the last surveys all showed the backlog and the primary has led since at least backlogPause ago.
@@ -66,11 +68,13 @@
 // Reset forgets the surveys.
 func (b *Backlog) Reset() { *b = Backlog{} }
 
-// Prompt reports whether all live VMs have renewed their lease within the last two intervals, so that none of them would hold
-// up a change of primary until its lease ends.
+// promptness is by how much a renewal may be late until its VM may hold up a change of primary.
+const promptness = 350 * time.Millisecond
+
+// Prompt reports whether no live VM is late with its renewal: one that is would hold up a change of primary until its lease ends.
 func Prompt(members []Member, store time.Duration) bool {
 	for _, m := range members {
-		if m.until > store && m.until < store+Length-2*Renewal {
+		if m.until > store && m.until < store+Length-Renewal-promptness {
 			return false
 		}
 	}
--- a/io/elect/survey.go
+++ b/io/elect/survey.go
@@ -18,11 +18,11 @@
 	e.mu.Lock()
 	g := e.group(group)
 	g.surveying = false
-	now := e.clock()
-	if !primary.IsZero() {
+	persists := false
+	if g.record.Server() == leader && !primary.IsZero() {
 		g.backlog.Surveyed(primary, replicas, complete)
+		persists = g.backlog.Persists(e.clock(), g.seen)
 	}
-	persists := g.record.Server() == leader && g.backlog.Persists(now, g.seen)
 	e.mu.Unlock()
 	if !persists || !e.prompt(ctx) {
 		return
