--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -44,6 +44,8 @@
 	LeaseLost         ID = 707
 	LeadersKnown      ID = 708
 	ReplicasBehind    ID = 709
+	AgentChanged      ID = 710
+	AgentFailed       ID = 711
 	ConfigApplied     ID = 800
 	ConfigOlder       ID = 801
 	ConfigRefused     ID = 802
@@ -100,6 +102,8 @@
 	{LeaseLost, LayerFailov, "lease on the primaries' records ended", "Check the path to the platform's store; work that needs a primary is refused until the lease is renewed."},
 	{LeadersKnown, LayerFailov, "servers asked before a promotion", "None."},
 	{ReplicasBehind, LayerFailov, "all replicas apply the log far behind", "Check the replicas; the primary is replaced by one of them so that the group has a replica that serves reads."},
+	{AgentChanged, LayerFailov, "calls of the store go through another VM", "None."},
+	{AgentFailed, LayerFailov, "agent cannot make calls of the store", "None, unless it repeats; then check that VM and its path to the store."},
 	{ConfigApplied, LayerConfig, "configuration revision in force", "None."},
 	{ConfigOlder, LayerConfig, "store holds an older configuration", "Find out why the store went back; the VMs keep the newer one."},
 	{ConfigRefused, LayerConfig, "configuration change refused", "Correct the errors listed, or base the change on the current revision."},
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -81,6 +81,9 @@
 	epoch   uint64
 	until   time.Duration
 	suspect []string
+
+	dataCentre string
+	address    string
 }
 
 // NewMember returns the entry of a VM that has seen epoch and whose lease ends at until on the store's clock. Suspect are
@@ -224,6 +227,9 @@
 	}
 }
 
+// Value returns the last time that the store's clock is known to have shown; 0 before the first answer.
+func (c *StoreClock) Value() time.Duration { return c.value }
+
 // Latest returns the latest time that the store's clock can show at now; false before the first answer.
 func (c *StoreClock) Latest(now time.Time) (time.Duration, bool) {
 	if c.sent.IsZero() {
--- a/core/port/rows.go
+++ b/core/port/rows.go
@@ -29,14 +29,20 @@
 	Rows    []Row
 	Version uint64        // the store's newest version
 	Clock   time.Duration // the store's steady clock
+	Relayed bool          // another VM made the call, so that Clock may be older than the request
 }
 
-// Rows is the platform's versioned table service.
-type Rows interface {
+// Feed reads tables of the platform's store.
+type Feed interface {
 	// List returns all rows of a table as of one moment.
 	List(ctx context.Context, table string) (Snapshot, error)
 	// Changes waits up to wait for changes after a version. It returns ErrHistoryGone if the store has dropped them.
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Snapshot, error)
+}
+
+// Rows is the platform's versioned table service.
+type Rows interface {
+	Feed
 	// Commit changes rows if each of expect still has its version. It returns ErrConflict if not; after any other error the
 	// change may have been made or may still be made.
 	Commit(ctx context.Context, expect, put, remove []Row) (Snapshot, error)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"verbenagate/core/event"
+	"verbenagate/core/lead"
 	"verbenagate/core/port"
 	"verbenagate/core/result"
 	"verbenagate/io/elect"
@@ -23,6 +24,7 @@
 	"verbenagate/io/logs"
 	"verbenagate/io/metric"
 	"verbenagate/io/pool"
+	"verbenagate/io/relay"
 	"verbenagate/io/watch"
 )
 
@@ -91,14 +93,26 @@
 	}
 	log.Event(event.NodeStarted, zap.String("vm", s.VM()), zap.String("data_centre", s.DataCentre()))
 	var elector atomic.Pointer[elect.Elector]
-	e.dir = watch.NewDirectory(ctx, a.Rows, a.Source, Clock, log, func(v *watch.View) {
+	agents := relay.New(ctx, s.VM(), a.Rows, Clock, log)
+	e.dir = watch.NewDirectory(ctx, agents, a.Source, Clock, log, func(v *watch.View) {
 		e.set.Update(v)
 		if el := elector.Load(); el != nil {
 			el.Refresh()
 		}
 	})
-	e.elector = elect.New(ctx, s.VM(), a.Rows, a.Orders, e.set, e.dir.View, Clock, log)
+	self := lead.NewMember(s.VM(), 0, 0, nil).At(s.DataCentre(), s.Peers())
+	e.elector = elect.New(self, a.Rows, agents, a.Orders, e.set, e.dir.View, Clock, log)
 	elector.Store(e.elector)
+	agents.SetGranter(e.elector)
+	if s.Peers() != "" {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", s.Peers())
+		if err != nil {
+			cancel()
+			return nil, result.Wrap(result.ConnectFailed, err, "listening for other VMs at %s", s.Peers())
+		}
+		agents.Serve(l)
+	}
+	e.elector.Start(ctx)
 	e.entry, err = entry.Listen(ctx, s.Callers(), entry.Parts{
 		Wrap: a.Wrap, View: e.dir.View, Groups: e.set, Elector: e.elector, Clock: Clock, Log: log, Metrics: e.metrics,
 	})
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -129,8 +129,8 @@
 
 func (s *site) startVM(name string) string {
 	callers := freeAddress(s.t)
-	text := fmt.Sprintf("vm: %s\ndata_centre: dc0\ncallers: %s\nready: %s\nmetrics: %s\nstore: %s\norders: %s\ngrace_s: 2\nvms: 3\n",
-		name, callers, freeAddress(s.t), freeAddress(s.t), s.store.Addr(), s.store.Addr())
+	text := fmt.Sprintf("vm: %s\ndata_centre: dc0\ncallers: %s\nready: %s\nmetrics: %s\npeers: %s\nstore: %s\norders: %s\ngrace_s: 2\nvms: 3\n",
+		name, callers, freeAddress(s.t), freeAddress(s.t), freeAddress(s.t), s.store.Addr(), s.store.Addr())
 	settings, err := edge.Parse("vm.yaml", []byte(text))
 	if err != nil {
 		s.t.Fatal(err)
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -20,6 +20,7 @@
 	Callers    string `yaml:"callers"`
 	Ready      string `yaml:"ready"`
 	Metrics    string `yaml:"metrics"`
+	Peers      string `yaml:"peers"`
 	Store      string `yaml:"store"`
 	Orders     string `yaml:"orders"`
 	GraceS     int    `yaml:"grace_s"`
@@ -61,6 +62,11 @@
 			doc.Add(path, fmt.Sprintf("%q is not an address, host:port", value))
 		}
 	}
+	if k.Peers != "" {
+		if _, _, err := net.SplitHostPort(k.Peers); err != nil && !doc.HasProblem("peers") {
+			doc.Add("peers", fmt.Sprintf("%q is not an address, host:port", k.Peers))
+		}
+	}
 	if k.GraceS < leastGrace && !doc.HasProblem("grace_s") {
 		doc.Add("grace_s", fmt.Sprintf("must be at least %d s", leastGrace))
 	}
@@ -103,6 +109,9 @@
 // Metrics returns the address of the metrics and of the state dump.
 func (s Settings) Metrics() string { return s.k.Metrics }
 
+// Peers returns the address at which this VM takes calls of other VMs; "" if it makes its own calls of the store alone.
+func (s Settings) Peers() string { return s.k.Peers }
+
 // Store returns the address of the platform's store.
 func (s Settings) Store() string { return s.k.Store }
 
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -31,6 +31,8 @@
 	// memberInterval is how often the list of VMs is read while no primary is suspected, suspectInterval while one is.
 	memberInterval  = 5 * time.Second
 	suspectInterval = 100 * time.Millisecond
+	// firstMembers is how soon the list of VMs is read again after a start, when it may lack most of them.
+	firstMembers = 800 * time.Millisecond
 	// rankDelay lies between the VMs that may act, so that one of them does.
 	rankDelay = 200 * time.Millisecond
 	// retryFirst is the shortest delay after a renewal that failed, and half of the longest one.
@@ -63,16 +65,30 @@
 	relieve   bool // the primary is to be replaced because its replicas are far behind
 }
 
+// Agents share the calls of the store among the VMs of a data centre.
+type Agents interface {
+	port.Feed
+	// Recent returns the rows of a table as of a moment ago.
+	Recent(ctx context.Context, table string) (port.Snapshot, error)
+	// Renew has this VM's lease renewed, or given up if leave is set.
+	Renew(ctx context.Context, m lead.Member, leave bool) error
+	// SetAgents names the VMs that make the calls.
+	SetAgents(agents []lead.Member)
+}
+
 // Elector is safe for concurrent use.
 type Elector struct {
+	self   lead.Member
 	name   string
 	rows   port.Rows
+	agents Agents
 	orders port.Promoter
 	set    *pool.Set
 	view   func() *watch.View
 	clock  Clock
 	log    logs.Logger
 	renew  chan struct{}
+	asked  chan *request
 
 	mu       sync.Mutex
 	groups   map[string]*groupState
@@ -81,22 +97,33 @@
 	lease    lead.Lease
 	held     bool
 	store    lead.StoreClock
-	own      uint64 // version of this VM's row
+	own      uint64 // version of this VM's row; 0 if it is not known
+	grants   lead.Grants
 	members  []lead.Member
 	watching map[string][]lead.Member // by group; made from members
 	changed  chan struct{}            // closed and replaced when a record or the lease changes
 	stopping bool
 }
 
-// New starts the elector of the VM name; it ends with ctx.
-func New(ctx context.Context, name string, rows port.Rows, orders port.Promoter, set *pool.Set, view func() *watch.View,
+// New starts the elector of the VM self; it ends with ctx. Start must follow.
+func New(self lead.Member, rows port.Rows, agents Agents, orders port.Promoter, set *pool.Set, view func() *watch.View,
 	clock Clock, log logs.Logger,
 ) *Elector {
-	e := &Elector{
-		name: name, rows: rows, orders: orders, set: set, view: view, clock: clock, log: log,
-		renew: make(chan struct{}, 1), groups: make(map[string]*groupState), changed: make(chan struct{}),
+	return &Elector{
+		self: self, name: self.Name(), rows: rows, agents: agents, orders: orders, set: set, view: view, clock: clock, log: log,
+		renew: make(chan struct{}, 1), asked: make(chan *request), groups: make(map[string]*groupState),
+		changed: make(chan struct{}),
 	}
-	go watch.Follow(ctx, rows, leadTable, 0, clock, (*follower)(e))
+}
+
+// Start starts to renew the lease and to judge the primaries, until ctx ends.
+func (e *Elector) Start(ctx context.Context) {
+	go watch.Follow(ctx, e.agents, leadTable, 0, e.clock, (*follower)(e))
+	go func() {
+		for ctx.Err() == nil {
+			e.grantBatch(ctx)
+		}
+	}()
 	go func() {
 		for ctx.Err() == nil {
 			e.renewOnce(ctx)
@@ -120,7 +147,6 @@
 			e.pause(ctx, e.memberPause())
 		}
 	}()
-	return e
 }
 
 // Use is the right to use a group's primary.
@@ -277,7 +303,7 @@
 func (e *Elector) take(sent time.Time, s port.Snapshot, all bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.store.Heard(sent, s.Clock)
+	e.heard(sent, s)
 	moved := false
 	for _, row := range s.Rows {
 		if row.Key == epochKey {
@@ -302,6 +328,13 @@
 	e.notify()
 }
 
+// heard notes the store's clock in an answer to a request sent at sent. The caller holds mu.
+func (e *Elector) heard(sent time.Time, s port.Snapshot) {
+	if !s.Relayed && s.Version > 0 {
+		e.store.Heard(sent, s.Clock)
+	}
+}
+
 // apply takes in a record. The caller holds mu.
 func (e *Elector) apply(group string, r lead.Record) {
 	g := e.group(group)
@@ -359,12 +392,7 @@
 		next = retryFirst + time.Duration(retry.Jitter()*float64(retryFirst))
 		if !errors.Is(err, port.ErrConflict) {
 			e.log.Event(event.StoreDown, zap.String("table", memberTable), zap.Error(err))
-		} else if e.reload(ctx) == nil {
-			next = 0
 		}
-		e.mu.Lock()
-		e.own = 0
-		e.mu.Unlock()
 	}
 	t := time.NewTimer(next)
 	defer t.Stop()
@@ -375,18 +403,13 @@
 	}
 }
 
-// renewNow confirms the epoch with this VM's row and extends the lease.
+// renewNow confirms the epoch and extends the lease.
 func (e *Elector) renewNow(ctx context.Context) error {
-	if err := e.readOwn(ctx); err != nil {
-		return err
-	}
 	if !e.ready(ctx) {
 		return nil
 	}
 	e.mu.Lock()
-	now := e.clock()
-	latest, known := e.store.Latest(now)
-	epoch, own := e.epoch, e.own
+	sent, epoch := e.clock(), e.epoch
 	var suspect []string
 	for name, g := range e.groups {
 		if g.record.Phase() == lead.Moving {
@@ -397,27 +420,14 @@
 		}
 	}
 	e.mu.Unlock()
-	if !known {
-		return e.reload(ctx)
-	}
 	slices.Sort(suspect)
-	row, err := encodeMember(lead.NewMember(e.name, epoch, latest+lead.Length, suspect))
-	if err != nil {
+	m := lead.NewMember(e.name, epoch, 0, suspect).At(e.self.DataCentre(), e.self.Address())
+	if err := e.agents.Renew(ctx, m, false); err != nil {
 		return err
 	}
-	s, err := e.rows.Commit(ctx, []port.Row{
-		{Table: leadTable, Key: epochKey, Version: epoch}, {Table: memberTable, Key: e.name, Version: own},
-	}, []port.Row{row}, nil)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if s.Version > 0 {
-		e.store.Heard(now, s.Clock)
-	}
-	if err != nil {
-		return err
-	}
-	e.own = s.Version
-	e.lease.Renew(now, epoch)
+	e.lease.Renew(sent, epoch)
 	if !e.held {
 		e.held = true
 		e.log.Event(event.LeaseRenewed, zap.Uint64("epoch", epoch))
@@ -426,31 +436,6 @@
 	return nil
 }
 
-// readOwn learns the version of this VM's row after a renewal whose outcome is not known. With it as a condition, a renewal
-// that the store carries out late cannot replace a newer one.
-func (e *Elector) readOwn(ctx context.Context) error {
-	e.mu.Lock()
-	own := e.own
-	e.mu.Unlock()
-	if own != 0 {
-		return nil
-	}
-	sent := e.clock()
-	s, err := e.rows.List(ctx, memberTable)
-	if err != nil {
-		return err
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.store.Heard(sent, s.Clock)
-	for _, row := range s.Rows {
-		if row.Key == e.name {
-			e.own = row.Version
-		}
-	}
-	return nil
-}
-
 // ready waits until the work that uses a primary which is to be replaced has ended, for a short while, and reports whether
 // the records are known.
 func (e *Elector) ready(ctx context.Context) bool {
@@ -473,7 +458,11 @@
 // readMembers reads the list of VMs.
 func (e *Elector) readMembers(ctx context.Context) {
 	sent := e.clock()
-	s, err := e.rows.List(ctx, memberTable)
+	list := e.agents.Recent
+	if e.doubted() {
+		list = e.rows.List
+	}
+	s, err := list(ctx, memberTable)
 	if err != nil {
 		return
 	}
@@ -483,22 +472,37 @@
 		return
 	}
 	e.mu.Lock()
-	e.store.Heard(sent, s.Clock)
+	e.heard(sent, s)
 	e.members, e.watching = lead.Live(members, s.Clock), make(map[string][]lead.Member)
+	agents := lead.Agents(e.members, e.self.DataCentre())
 	n := lead.Holders(members, s.Clock)
 	e.mu.Unlock()
 	e.set.SetVMs(n)
+	e.agents.SetAgents(agents)
 }
 
 func (e *Elector) memberPause() time.Duration {
+	if e.doubted() {
+		return suspectInterval
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.members) <= 1 {
+		return firstMembers
+	}
+	return memberInterval
+}
+
+// doubted reports whether a primary that this VM watches is suspected.
+func (e *Elector) doubted() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for name, g := range e.groups {
 		if (g.suspect || !g.noticed.IsZero()) && e.watches(name) {
-			return suspectInterval
+			return true
 		}
 	}
-	return memberInterval
+	return false
 }
 
 // watchersOf returns the VMs that watch the primary of a group. The caller holds mu.
@@ -521,18 +525,14 @@
 	return slices.ContainsFunc(e.watchersOf(group), func(m lead.Member) bool { return m.Name() == e.name })
 }
 
-// Stop ends the replacing of primaries by this VM and removes it from the list once its work has ended.
+// Stop ends the replacing of primaries by this VM and gives up its lease once its work has ended.
 func (e *Elector) Stop(ctx context.Context) {
 	e.mu.Lock()
 	e.stopping = true
-	own := e.own
+	m := lead.NewMember(e.name, e.epoch, 0, nil).At(e.self.DataCentre(), e.self.Address())
+	e.lease = lead.Lease{}
 	e.mu.Unlock()
-	if own == 0 {
-		return
-	}
-	_, err := e.rows.Commit(ctx, []port.Row{{Table: memberTable, Key: e.name, Version: own}}, nil,
-		[]port.Row{{Table: memberTable, Key: e.name}})
-	if err != nil {
+	if err := e.agents.Renew(ctx, m, true); err != nil {
 		e.log.Event(event.StoreDown, zap.String("table", memberTable), zap.Error(err))
 	}
 }
--- a/io/elect/records.go
+++ b/io/elect/records.go
@@ -26,11 +26,19 @@
 	Holder string `json:"holder"`
 }
 
-// memberRow is the stored form of a lead.Member. UntilMs is on the store's clock.
+// memberRow is the stored form of the leases that one VM has asked for.
 type memberRow struct {
-	Epoch   uint64   `json:"epoch"`
-	UntilMs int64    `json:"until_ms"`
-	Suspect []string `json:"suspect,omitempty"`
+	VMs []memberEntry `json:"vms"`
+}
+
+// memberEntry is the stored form of a lead.Member. UntilMs is on the store's clock.
+type memberEntry struct {
+	Name       string   `json:"name"`
+	Epoch      uint64   `json:"epoch"`
+	UntilMs    int64    `json:"until_ms"`
+	Suspect    []string `json:"suspect,omitempty"`
+	DataCentre string   `json:"data_centre,omitempty"`
+	Address    string   `json:"address,omitempty"`
 }
 
 func encodeRecord(group string, r lead.Record) (port.Row, error) {
@@ -57,19 +65,41 @@
 	return group, lead.NewRecord(phase, g.Server, g.Term, g.Holder).WithVersion(row.Version), true, nil
 }
 
-func encodeMember(m lead.Member) (port.Row, error) {
-	value, err := json.Marshal(memberRow{Epoch: m.Epoch(), UntilMs: m.Until().Milliseconds(), Suspect: m.Suspect()})
-	return port.Row{Table: memberTable, Key: m.Name(), Value: value}, err
+// encodeMembers returns the row of a VM with the leases that it has asked for.
+func encodeMembers(vm string, members []lead.Member) (port.Row, error) {
+	var r memberRow
+	for _, m := range members {
+		r.VMs = append(r.VMs, memberEntry{
+			Name: m.Name(), Epoch: m.Epoch(), UntilMs: m.Until().Milliseconds() + 1, Suspect: m.Suspect(),
+			DataCentre: m.DataCentre(), Address: m.Address(),
+		})
+	}
+	value, err := json.Marshal(r)
+	return port.Row{Table: memberTable, Key: vm, Value: value}, err
+}
+
+func decodeRow(row port.Row) ([]lead.Member, error) {
+	var r memberRow
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return nil, result.Wrap(result.InvalidConfig, err, "leases asked for by VM %q", row.Key)
+	}
+	members := make([]lead.Member, 0, len(r.VMs))
+	for _, m := range r.VMs {
+		until := time.Duration(m.UntilMs) * time.Millisecond
+		members = append(members, lead.NewMember(m.Name, m.Epoch, until, m.Suspect).At(m.DataCentre, m.Address))
+	}
+	return members, nil
 }
 
+// decodeMembers returns the VMs of all rows.
 func decodeMembers(rows []port.Row) ([]lead.Member, error) {
 	var all []lead.Member
 	for _, row := range rows {
-		var m memberRow
-		if err := json.Unmarshal(row.Value, &m); err != nil {
-			return nil, result.Wrap(result.InvalidConfig, err, "entry of VM %q", row.Key)
+		members, err := decodeRow(row)
+		if err != nil {
+			return nil, err
 		}
-		all = append(all, lead.NewMember(row.Key, m.Epoch, time.Duration(m.UntilMs+1)*time.Millisecond, m.Suspect))
+		all = append(all, members...)
 	}
-	return all, nil
+	return lead.Merge(all), nil
 }
--- /dev/null
+++ b/io/relay/message.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"verbenagate/core/lead"
+	"verbenagate/core/port"
+	"verbenagate/core/result"
+)
+
+// call is a request of a VM to an agent; one of the pointers is set.
+type call struct {
+	ID      uint64       `cbor:"1,keyasint"`
+	Renew   *renewCall   `cbor:"2,keyasint,omitempty"`
+	List    *listCall    `cbor:"3,keyasint,omitempty"`
+	Changes *changesCall `cbor:"4,keyasint,omitempty"`
+}
+
+// renewCall asks for a lease, or gives it up.
+type renewCall struct {
+	Name       string   `cbor:"1,keyasint"`
+	Epoch      uint64   `cbor:"2,keyasint"`
+	Suspect    []string `cbor:"3,keyasint,omitempty"`
+	DataCentre string   `cbor:"4,keyasint"`
+	Address    string   `cbor:"5,keyasint"`
+	Leave      bool     `cbor:"6,keyasint,omitempty"`
+}
+
+// listCall asks for the rows of a table. Recent says that the table is not followed.
+type listCall struct {
+	Table  string `cbor:"1,keyasint"`
+	Recent bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// changesCall waits for changes of a table.
+type changesCall struct {
+	Table string        `cbor:"1,keyasint"`
+	After uint64        `cbor:"2,keyasint"`
+	Wait  time.Duration `cbor:"3,keyasint"`
+}
+
+// reply answers the call with its ID.
+type reply struct {
+	ID       uint64        `cbor:"1,keyasint"`
+	Code     replyCode     `cbor:"2,keyasint"`
+	Message  string        `cbor:"3,keyasint,omitempty"`
+	Rows     []row         `cbor:"4,keyasint,omitempty"`
+	Version  uint64        `cbor:"5,keyasint,omitempty"`
+	StoreNow time.Duration `cbor:"6,keyasint,omitempty"`
+}
+
+// row is a row of a table in a reply.
+type row struct {
+	Key     string `cbor:"1,keyasint"`
+	Value   []byte `cbor:"2,keyasint,omitempty"`
+	Version uint64 `cbor:"3,keyasint,omitempty"`
+	Deleted bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// replyCode is the result of a call.
+type replyCode uint8
+
+const (
+	codeOK replyCode = iota + 1
+	codeConflict
+	codeHistoryGone
+	codeFailed
+)
+
+var decMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+		MaxArrayElements: mostRows,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// mostRows bounds the rows of a reply.
+const mostRows = 100_000
+
+func newRenewCall(m lead.Member, leave bool) *renewCall {
+	return &renewCall{
+		Name: m.Name(), Epoch: m.Epoch(), Suspect: m.Suspect(), DataCentre: m.DataCentre(), Address: m.Address(), Leave: leave,
+	}
+}
+
+func (c renewCall) member() lead.Member {
+	return lead.NewMember(c.Name, c.Epoch, 0, c.Suspect).At(c.DataCentre, c.Address)
+}
+
+func newReply(id uint64, s port.Snapshot, err error) reply {
+	r := reply{ID: id, Code: codeOK, Version: s.Version, StoreNow: s.Clock}
+	switch err {
+	case nil:
+	case port.ErrConflict:
+		r.Code = codeConflict
+	case port.ErrHistoryGone:
+		r.Code = codeHistoryGone
+	default:
+		return reply{ID: id, Code: codeFailed, Message: err.Error()}
+	}
+	for _, x := range s.Rows {
+		r.Rows = append(r.Rows, row{Key: x.Key, Value: x.Value, Version: x.Version, Deleted: x.Deleted})
+	}
+	return r
+}
+
+func (r reply) snapshot(table string) (port.Snapshot, error) {
+	switch r.Code {
+	case codeOK:
+	case codeConflict:
+		return port.Snapshot{}, port.ErrConflict
+	case codeHistoryGone:
+		return port.Snapshot{}, port.ErrHistoryGone
+	default:
+		return port.Snapshot{}, result.New(result.StoreUnavailable, "the agent: %s", r.Message)
+	}
+	s := port.Snapshot{Version: r.Version, Clock: r.StoreNow, Relayed: true}
+	for _, x := range r.Rows {
+		s.Rows = append(s.Rows, port.Row{Table: table, Key: x.Key, Value: x.Value, Version: x.Version, Deleted: x.Deleted})
+	}
+	return s, nil
+}
