--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -46,6 +46,8 @@
 	ReplicasBehind    ID = 709
 	AgentChanged      ID = 710
 	AgentFailed       ID = 711
+	ContactLost       ID = 712
+	ContactRegained   ID = 713
 	ConfigApplied     ID = 800
 	ConfigOlder       ID = 801
 	ConfigRefused     ID = 802
@@ -104,6 +106,8 @@
 	{ReplicasBehind, LayerFailov, "all replicas apply the log far behind", "Check the replicas; the primary is replaced by one of them so that the group has a replica that serves reads."},
 	{AgentChanged, LayerFailov, "calls of the store go through another VM", "None."},
 	{AgentFailed, LayerFailov, "agent cannot make calls of the store", "None, unless it repeats; then check that VM and its path to the store."},
+	{ContactLost, LayerFailov, "no VM of another data centre answers", "Check the network between the data centres; the VM is not ready if most primaries are elsewhere."},
+	{ContactRegained, LayerFailov, "VMs of other data centres answer", "None."},
 	{ConfigApplied, LayerConfig, "configuration revision in force", "None."},
 	{ConfigOlder, LayerConfig, "store holds an older configuration", "Find out why the store went back; the VMs keep the newer one."},
 	{ConfigRefused, LayerConfig, "configuration change refused", "Correct the errors listed, or base the change on the current revision."},
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -54,13 +54,15 @@
 var start = time.Unix(1000, 0)
 
 // TestScripts runs the decisions of the files in _fixtures. It guards against a lease that outlives what the store knows of
-// it, and against promotions that are needless, come too early or are ordered twice, also those that relieve a primary.
+// it, also when an agent asked for it, and against promotions that are needless, come too early or are ordered twice, also those that relieve a primary.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "_fixtures", func(t *testing.T, path string) {
 		var l Lease
 		var c StoreClock
 		var w Watch
 		var b Backlog
+		var granted Grants
+		var contact Contact
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			at := func(key string) time.Time {
 				var text string
@@ -105,6 +107,39 @@
 			case "best":
 				best, ok := Best(candidates(t, d.Input))
 				return fmt.Sprint(best.ID(), " ", ok)
+			case "grant":
+				var until, heard string
+				d.ScanArgs(t, "until", &until)
+				d.ScanArgs(t, "heard", &heard)
+				renew, leave := requests(t, d.Input)
+				granted = granted.With(renew, leave, duration(t, until), duration(t, heard))
+				return show(granted.Members())
+			case "union":
+				granted = granted.Union(NewGrants(members(t, d.Input)))
+				return show(granted.Members())
+			case "urgent":
+				return strconv.FormatBool(granted.Urgent(members(t, d.Input)[0]))
+			case "merge":
+				return show(Merge(members(t, d.Input)))
+			case "agents":
+				var dataCentre string
+				d.ScanArgs(t, "data-centre", &dataCentre)
+				return names(Agents(places(d.Input), dataCentre))
+			case "contact-failed":
+				var vm string
+				d.ScanArgs(t, "vm", &vm)
+				contact.Failed(vm, at("asked"))
+				return strconv.FormatBool(contact.Lost(at("asked")))
+			case "contact-answered":
+				contact.Answered()
+				return strconv.FormatBool(contact.Lost(start.Add(time.Hour)))
+			case "contact-lost":
+				return strconv.FormatBool(contact.Lost(at("now")))
+			case "contacts":
+				var self, dataCentre string
+				d.ScanArgs(t, "self", &self)
+				d.ScanArgs(t, "data-centre", &dataCentre)
+				return centres(Contacts(places(d.Input), self, dataCentre))
 			case "prompt":
 				var store string
 				d.ScanArgs(t, "store", &store)
@@ -161,6 +196,56 @@
 	return all
 }
 
+// requests reads lines "renew NAME EPOCH" and "leave NAME EPOCH".
+func requests(t *testing.T, input string) (renew, leave []Member) {
+	for l := range strings.Lines(input) {
+		verb, rest, _ := strings.Cut(strings.TrimSpace(l), " ")
+		m := members(t, rest+" 0s")[0]
+		if verb == "leave" {
+			leave = append(leave, m)
+		} else {
+			renew = append(renew, m)
+		}
+	}
+	return renew, leave
+}
+
+// places reads lines "NAME DATA-CENTRE ADDRESS"; the address - stands for none.
+func places(input string) []Member {
+	var all []Member
+	for l := range strings.Lines(input) {
+		f := strings.Fields(l)
+		all = append(all, NewMember(f[0], 0, 0, nil).At(f[1], strings.Trim(f[2], "-")))
+	}
+	return all
+}
+
+// centres counts VMs and their data centres.
+func centres(all []Member) string {
+	known := make(map[string]bool)
+	for _, m := range all {
+		known[m.DataCentre()] = true
+	}
+	return fmt.Sprintf("%d of %d data centres", len(all), len(known))
+}
+
+func show(all []Member) string {
+	var out strings.Builder
+	for _, m := range all {
+		fmt.Fprintln(&out, m.Name(), m.Epoch(), m.Until())
+	}
+	return out.String()
+}
+
+func names(all []Member) string {
+	var list []string
+	for _, m := range all {
+		list = append(list, m.Name())
+	}
+	slices.Sort(list)
+	return strings.Join(list, " ")
+}
+
 func position(t *testing.T, text string) point.Point {
 	var term, number uint64
 	if _, err := fmt.Sscanf(text, "%d/%d", &term, &number); err != nil {
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -74,6 +74,8 @@
 	Renew(ctx context.Context, m lead.Member, leave bool) error
 	// SetAgents names the VMs that make the calls.
 	SetAgents(agents []lead.Member)
+	// Ping asks a VM for a reply.
+	Ping(ctx context.Context, address string, limit time.Duration) error
 }
 
 // Elector is safe for concurrent use.
@@ -101,7 +103,10 @@
 	grants   lead.Grants
 	members  []lead.Member
 	watching map[string][]lead.Member // by group; made from members
-	changed  chan struct{}            // closed and replaced when a record or the lease changes
+	contacts []lead.Member            // VMs of other data centres that are asked in turn
+	contact  lead.Contact
+	apart    bool          // this VM is cut off from all other data centres
+	changed  chan struct{} // closed and replaced when a record or the lease changes
 	stopping bool
 }
 
@@ -129,6 +134,12 @@
 			e.renewOnce(ctx)
 		}
 	}()
+	go func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			e.keepContact(ctx, n)
+			e.pause(ctx, pingInterval)
+		}
+	}()
 	go func() {
 		t := time.NewTicker(tick)
 		defer t.Stop()
@@ -188,6 +199,9 @@
 	if g == nil || g.record.Phase() != lead.Stable || g.serving == 0 || g.suspect || !e.lease.Holds(e.clock()) {
 		return Use{}, false
 	}
+	if e.apart && !e.near(g) {
+		return Use{}, false
+	}
 	g.users++
 	return Use{e: e, group: group, server: g.record.Server(), version: g.serving}, true
 }
@@ -196,11 +210,6 @@
 func (e *Elector) Cut() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.cut()
-}
-
-// cut is Cut for callers that hold mu.
-func (e *Elector) cut() bool {
 	if !e.lease.Holds(e.clock()) {
 		return true
 	}
@@ -210,7 +219,7 @@
 			continue
 		}
 		all++
-		if g.suspect {
+		if g.suspect || (e.apart && !e.near(g)) {
 			n++
 		}
 	}
@@ -474,6 +483,7 @@
 	e.mu.Lock()
 	e.heard(sent, s)
 	e.members, e.watching = lead.Live(members, s.Clock), make(map[string][]lead.Member)
+	e.contacts = lead.Contacts(e.members, e.name, e.self.DataCentre())
 	agents := lead.Agents(e.members, e.self.DataCentre())
 	n := lead.Holders(members, s.Clock)
 	e.mu.Unlock()
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -10,12 +10,13 @@
 	"verbenagate/core/result"
 )
 
-// call is a request of a VM to an agent; one of the pointers is set.
+// call is a request of a VM to an agent; one of the others is set.
 type call struct {
 	ID      uint64       `cbor:"1,keyasint"`
 	Renew   *renewCall   `cbor:"2,keyasint,omitempty"`
 	List    *listCall    `cbor:"3,keyasint,omitempty"`
 	Changes *changesCall `cbor:"4,keyasint,omitempty"`
+	Ping    bool         `cbor:"5,keyasint,omitempty"` // asks for a reply and nothing else
 }
 
 // renewCall asks for a lease, or gives it up.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -126,6 +126,18 @@
 	}, table, wait+changesGrace, call{Changes: &changesCall{Table: table, After: after, Wait: wait}})
 }
 
+// Ping asks the VM at address for a reply within limit.
+func (r *Relay) Ping(ctx context.Context, address string, limit time.Duration) error {
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	c, err := r.client(limited, address)
+	if err != nil {
+		return err
+	}
+	_, err = c.do(ctx, limit, call{Ping: true})
+	return err
+}
+
 // feed returns what this VM reads tables from when no other agent does it: as an agent, what it follows for all.
 func (r *Relay) feed() port.Feed {
 	r.mu.Lock()
@@ -293,6 +305,8 @@
 		s, err = r.hub.Recent(ctx, q.List.Table)
 	case q.List != nil:
 		s, err = r.hub.List(ctx, q.List.Table)
+	case q.Ping:
+		err = nil
 	case q.Changes != nil:
 		s, err = r.hub.Changes(ctx, q.Changes.Table, q.Changes.After, q.Changes.Wait)
 	}
