--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -36,7 +36,7 @@
 	// rankDelay lies between the VMs that may act, so that one of them does.
 	rankDelay = 200 * time.Millisecond
 	// retryFirst is the shortest delay after a renewal that failed, and half of the longest one.
-	retryFirst = 150 * time.Millisecond
+	retryFirst = 250 * time.Millisecond
 	// surveyInterval is how often the servers of a group are asked how far they are.
 	surveyInterval = 700 * time.Millisecond
 	// settle is how long transactions on a primary that is to be replaced may go on before this VM confirms the change.
--- a/io/elect/judge.go
+++ b/io/elect/judge.go
@@ -10,7 +10,6 @@
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
 	"verbenagate/core/port"
-	"verbenagate/core/result"
 	"verbenagate/io/pool"
 	"verbenagate/io/watch"
 )
@@ -184,10 +183,7 @@
 	if err == nil {
 		e.observe(pg, group, server, asked, s.Received())
 	}
-	// That all of this VM's connections are in use says nothing of the server.
-	if answered || result.CodeOf(err) != result.QueueFull {
-		e.Answered(group, server, asked, answered)
-	}
+	e.Answered(group, server, asked, answered)
 	e.mu.Lock()
 	e.group(group).probing = false
 	e.mu.Unlock()
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -198,7 +198,7 @@
 		return exec.ServerStatus{}, false, errGone
 	}
 	end := g.clock().Add(limit)
-	c, err := p.Acquire(Want{Limit: limit, Patience: limit})
+	c, err := p.Visit(limit)
 	if err != nil {
 		// A server that has too many connections runs.
 		return exec.ServerStatus{}, result.CodeOf(err) == result.TooManyCallers, err
@@ -221,7 +221,7 @@
 	if !ok {
 		return errGone
 	}
-	c, err := p.Acquire(Want{Limit: limit, Patience: limit})
+	c, err := p.Visit(limit)
 	if err != nil {
 		return err
 	}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -204,6 +204,24 @@
 	return p.await(w, end)
 }
 
+// Visit returns a connection for a request of the VM's own that must not wait behind those of callers: an idle one, or else a new
+// one, also beyond the pool's limit. Callers may hold all connections of a server that does not answer any more.
+func (p *Pool) Visit(limit time.Duration) (*Conn, error) {
+	p.mu.Lock()
+	switch {
+	case p.closed:
+		p.mu.Unlock()
+		return nil, result.New(result.NoServer, "server %s is gone", p.server.ID())
+	case len(p.idle) > 0:
+		c := p.take(nil)
+		p.mu.Unlock()
+		return c, nil
+	}
+	p.open++
+	p.mu.Unlock()
+	return p.dial(limit)
+}
+
 func (p *Pool) await(w *waiter, end time.Time) (*Conn, error) {
 	t := time.NewTimer(end.Sub(p.clock()))
 	defer t.Stop()
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -77,6 +77,20 @@
 	g.Expect(answered).To(gomega.BeFalse())
 }
 
+// Guards against a primary whose failure is noticed late, and replicas whose lag is not seen, because callers hold all connections.
+func TestStatusDoesNotWaitForCallers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, group := newGroup(t, 1)
+	held := acquire(t, group, "ledger-0", nil)
+	_, answered, err := group.Status("ledger-0", limit)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(answered).To(gomega.BeTrue())
+	p, _ := group.Pool("ledger-0")
+	g.Expect(p.State().Open).To(gomega.Equal(1), "the connection beyond the limit is closed")
+	held.Release()
+	g.Expect(p.State().Idle).To(gomega.Equal(1))
+}
+
 // Guards against session values or prepared statements that one session leaves to the next.
 func TestAdopt(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,9 @@
 	changesGrace = 2 * time.Second
 	// failurePause is how long an agent that failed is not asked again.
 	failurePause = 3 * time.Second
+	// firstAgents is how long reads of tables wait after the start for the names of the agents. VMs that start together would
+	// otherwise follow the store one by one while all servers register.
+	firstAgents = 1200 * time.Millisecond
 	readHeader   = 2 * time.Second
 )
 
@@ -54,6 +58,8 @@
 	clients map[string]*client // by address
 	granter Granter
 	server  *http.Server
+	known   context.CancelFunc // ends the wait for the names of agents
+	waiting context.Context
 }
 
 // New returns the relay of the VM self. Until SetAgents names others, it makes its own calls. Its connections end with ctx.
@@ -63,6 +69,7 @@
 		failed: make(map[string]time.Time), clients: make(map[string]*client),
 	}
 	context.AfterFunc(ctx, r.close)
+	r.waiting, r.known = context.WithTimeout(ctx, firstAgents)
 	return r
 }
 
@@ -92,6 +99,9 @@
 		r.log.Event(event.AgentChanged, zap.String("agent", agents[0].Name()), zap.String("address", agents[0].Address()))
 	}
 	r.agents = agents
+	if slices.ContainsFunc(agents, func(m lead.Member) bool { return m.Name() != r.self }) {
+		r.known()
+	}
 }
 
 // Renew has the lease of this VM renewed, or given up if leave is set.
@@ -107,6 +117,7 @@
 
 // List implements port.Feed. The rows may be those of a moment ago.
 func (r *Relay) List(ctx context.Context, table string) (port.Snapshot, error) {
+	<-r.waiting.Done()
 	return r.each(ctx, func() (port.Snapshot, error) {
 		return r.feed().List(ctx, table)
 	}, table, listLimit, call{List: &listCall{Table: table}})
--- a/io/watch/follow.go
+++ b/io/watch/follow.go
@@ -16,7 +16,7 @@
 	wait = 20 * time.Second
 	// firstRetry and mostRetry bound the delay after a failed call.
 	firstRetry = 50 * time.Millisecond
-	mostRetry  = 500 * time.Millisecond
+	mostRetry  = time.Second
 )
 
 // Follower takes in the rows of a table.
