--- a/core/lead/backlog.go
+++ b/core/lead/backlog.go
@@ -68,13 +68,10 @@
 // Reset forgets the surveys.
 func (b *Backlog) Reset() { *b = Backlog{} }
 
-// promptness is by how much a renewal may be late until its VM may hold up a change of primary.
-const promptness = 350 * time.Millisecond
-
-// Prompt reports whether no live VM is late with its renewal: one that is would hold up a change of primary until its lease ends.
-func Prompt(members []Member, store time.Duration) bool {
+// Renewed reports whether all VMs whose lease lasts at now have renewed it after since; both are times on the store's clock.
+func Renewed(members []Member, since, now time.Duration) bool {
 	for _, m := range members {
-		if m.until > store && m.until < store+Length-Renewal-promptness {
+		if m.until > now && m.until < since+Length {
 			return false
 		}
 	}
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -140,10 +140,11 @@
 				d.ScanArgs(t, "self", &self)
 				d.ScanArgs(t, "data-centre", &dataCentre)
 				return centres(Contacts(places(d.Input), self, dataCentre))
-			case "prompt":
-				var store string
-				d.ScanArgs(t, "store", &store)
-				return strconv.FormatBool(Prompt(members(t, d.Input), duration(t, store)))
+			case "renewed":
+				var since, now string
+				d.ScanArgs(t, "since", &since)
+				d.ScanArgs(t, "now", &now)
+				return strconv.FormatBool(Renewed(members(t, d.Input), duration(t, since), duration(t, now)))
 			case "survey":
 				var primary string
 				d.ScanArgs(t, "primary", &primary)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -71,6 +71,7 @@
 	dir      *watch.Directory
 	set      *pool.Set
 	elector  *elect.Elector
+	agents   *relay.Relay
 	entry    *entry.Server
 	stopping atomic.Bool
 	cancel   context.CancelFunc
@@ -94,6 +95,7 @@
 	log.Event(event.NodeStarted, zap.String("vm", s.VM()), zap.String("data_centre", s.DataCentre()))
 	var elector atomic.Pointer[elect.Elector]
 	agents := relay.New(ctx, s.VM(), a.Rows, Clock, log)
+	e.agents = agents
 	e.dir = watch.NewDirectory(ctx, agents, a.Source, Clock, log, func(v *watch.View) {
 		e.set.Update(v)
 		if el := elector.Load(); el != nil {
@@ -194,6 +196,7 @@
 	Config   uint64            `json:"config"`
 	Sessions int               `json:"sessions"`
 	Elector  elect.State       `json:"elector"`
+	Agents   relay.State       `json:"agents"`
 	Groups   []pool.GroupState `json:"groups"`
 }
 
@@ -201,7 +204,7 @@
 func (e *Edge) State() State {
 	return State{
 		VM: e.s.VM(), Ready: e.Ready(), Config: e.dir.View().Config().Version(), Sessions: e.entry.Sessions(),
-		Elector: e.elector.State(), Groups: e.set.State(),
+		Elector: e.elector.State(), Agents: e.agents.State(), Groups: e.set.State(),
 	}
 }
 
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -351,7 +351,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{`"server":"ledger-0"`, `"lease_left"`, `"config":1`, `"limit"`} {
+	for _, want := range []string{`"server":"ledger-0"`, `"lease_left"`, `"config":1`, `"limit"`, `"apart":false`, `"agents"`} {
 		if !strings.Contains(string(text), want) {
 			t.Errorf("the dump lacks %s: %s", want, text)
 		}
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -39,6 +39,10 @@
 	retryFirst = 250 * time.Millisecond
 	// surveyInterval is how often the servers of a group are asked how far they are.
 	surveyInterval = 700 * time.Millisecond
+	// surveyLimit is how long a server may take to tell it; an overloaded one takes long.
+	surveyLimit = 800 * time.Millisecond
+	// startTime is how long a VM may take to obtain its first lease before it tells callers that it is cut off.
+	startTime = 2 * time.Second
 	// settle is how long transactions on a primary that is to be replaced may go on before this VM confirms the change.
 	settle = 400 * time.Millisecond
 )
@@ -62,7 +66,8 @@
 	backlog   lead.Backlog
 	surveying bool
 	surveyed  time.Time
-	relieve   bool // the primary is to be replaced because its replicas are far behind
+	relieve   bool          // the primary is to be replaced because its replicas are far behind
+	relieved  time.Duration // on the store's clock: since when that has been intended; 0 if it is not
 }
 
 // Agents share the calls of the store among the VMs of a data centre.
@@ -92,6 +97,8 @@
 	renew  chan struct{}
 	asked  chan *request
 
+	started time.Time
+
 	mu       sync.Mutex
 	groups   map[string]*groupState
 	epoch    uint64
@@ -117,7 +124,7 @@
 	return &Elector{
 		self: self, name: self.Name(), rows: rows, agents: agents, orders: orders, set: set, view: view, clock: clock, log: log,
 		renew: make(chan struct{}, 1), asked: make(chan *request), groups: make(map[string]*groupState),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), started: clock(),
 	}
 }
 
@@ -226,6 +233,13 @@
 	return lead.Isolated(n, all)
 }
 
+// Starting reports whether this VM has started a moment ago and waits for its first lease.
+func (e *Elector) Starting() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lease.Until().IsZero() && e.clock().Sub(e.started) < startTime
+}
+
 // Version returns the version of the last record that named a primary of the group, 0 if there is none. Positions that were
 // noted with the same version lie in one history.
 func (e *Elector) Version(group string) uint64 {
@@ -562,6 +576,7 @@
 // State describes the elector for a dump.
 type State struct {
 	Epoch     uint64        `json:"epoch"`
+	Apart     bool          `json:"apart"` // no VM of another data centre answers
 	LeaseLeft time.Duration `json:"lease_left"`
 	VMs       []string      `json:"vms"`
 	Groups    []GroupState  `json:"groups"`
@@ -571,7 +586,7 @@
 func (e *Elector) State() State {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := State{Epoch: e.epoch, LeaseLeft: e.lease.Until().Sub(e.clock())}
+	s := State{Epoch: e.epoch, Apart: e.apart, LeaseLeft: e.lease.Until().Sub(e.clock())}
 	for _, m := range e.members {
 		s.VMs = append(s.VMs, m.Name())
 	}
--- a/io/elect/survey.go
+++ b/io/elect/survey.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -18,20 +19,32 @@
 	e.mu.Lock()
 	g := e.group(group)
 	g.surveying = false
-	persists := false
-	if g.record.Server() == leader && !primary.IsZero() {
-		g.backlog.Surveyed(primary, replicas, complete)
-		persists = g.backlog.Persists(e.clock(), g.seen)
+	if g.record.Server() != leader || primary.IsZero() {
+		e.mu.Unlock()
+		return // An overloaded primary often does not answer in time. That says nothing of its replicas.
 	}
+	g.backlog.Surveyed(primary, replicas, complete)
+	persists := g.backlog.Persists(e.clock(), g.seen)
+	if !persists {
+		g.relieved = 0
+	}
+	since := g.relieved
+	e.mu.Unlock()
+	if !persists {
+		return
+	}
+	prompt, since := e.prompt(ctx, since)
+	e.mu.Lock()
+	g.relieved = since
 	e.mu.Unlock()
-	if !persists || !e.prompt(ctx) {
+	if !prompt {
 		return
 	}
 	e.log.Event(event.ReplicasBehind, zap.String("group", group), zap.String("primary", leader),
 		zap.String("position", primary.String()))
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	g.relieve = g.record.Server() == leader && g.record.Phase() == lead.Stable
+	g.relieve, g.relieved = g.record.Server() == leader && g.record.Phase() == lead.Stable, 0
 }
 
 // ask returns the primary's position and how far its replicas are. Complete says that all replicas answered.
@@ -46,7 +59,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			status, _, err := pg.Status(s.ID(), statusLimit)
+			status, _, err := pg.Status(s.ID(), surveyLimit)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
@@ -63,12 +76,21 @@
 	return primary, replicas, complete && len(replicas) > 0
 }
 
-// prompt reports whether all VMs would confirm a change of primary without delay.
-func (e *Elector) prompt(ctx context.Context) bool {
+// prompt reports whether all VMs have renewed their lease after since, a time on the store's clock, so that they would confirm a
+// change of primary without delay; one that has just ended would hold it up until its lease ends. A since of 0 stands for now,
+// and is returned as what it stands for.
+func (e *Elector) prompt(ctx context.Context, since time.Duration) (bool, time.Duration) {
 	s, err := e.rows.List(ctx, memberTable)
 	if err != nil {
-		return false
+		return false, since
 	}
 	members, err := decodeMembers(s.Rows)
-	return err == nil && lead.Prompt(members, s.Clock)
+	if err != nil {
+		e.log.Event(event.InvariantViolated, zap.Error(err))
+		return false, since
+	}
+	if since == 0 {
+		return false, s.Clock
+	}
+	return lead.Renewed(members, since, s.Clock), since
 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -204,9 +204,9 @@
 }
 
 // noPrimary says why no primary can be used. On a VM that is cut off that lasts for long, so the caller is told at once and can go
-// to another VM; a primary that is being replaced is worth waiting for.
+// to another VM; a primary that is being replaced and the first lease of a VM are worth waiting for.
 func (ss *session) noPrimary(r layout.Route) error {
-	if ss.s.p.Elector.Cut() {
+	if ss.s.p.Elector.Cut() && !ss.s.p.Elector.Starting() {
 		ss.leave = true
 		return result.New(result.StoreUnavailable, "this VM is cut off from the store or the primary of %s", r.Group())
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -35,7 +35,7 @@
 	// firstAgents is how long reads of tables wait after the start for the names of the agents. VMs that start together would
 	// otherwise follow the store one by one while all servers register.
 	firstAgents = 1200 * time.Millisecond
-	readHeader   = 2 * time.Second
+	readHeader  = 2 * time.Second
 )
 
 // Granter obtains leases from the store for this VM and for others.
@@ -255,6 +255,33 @@
 	r.failed[agent] = now.Add(failurePause)
 }
 
+// State describes the relay for a dump.
+type State struct {
+	Agents      []string `json:"agents"`
+	Failed      []string `json:"failed"`
+	Connections []string `json:"connections"`
+}
+
+// State returns a copy of the state.
+func (r *Relay) State() State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var s State
+	for _, a := range r.agents {
+		s.Agents = append(s.Agents, a.Name())
+		if until, failed := r.failed[a.Name()]; failed && r.clock().Before(until) {
+			s.Failed = append(s.Failed, a.Name())
+		}
+	}
+	for address, c := range r.clients {
+		if c.closed() == nil {
+			s.Connections = append(s.Connections, address)
+		}
+	}
+	slices.Sort(s.Connections)
+	return s
+}
+
 // close ends all connections.
 func (r *Relay) close() {
 	r.mu.Lock()
