--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -87,7 +87,7 @@
 }
 
 // NewMember returns the entry of a VM that has seen epoch and whose lease ends at until on the store's clock. Suspect are
-// the groups whose primary the VM cannot reach.
+// the primaries that the VM cannot reach.
 func NewMember(name string, epoch uint64, until time.Duration, suspect []string) Member {
 	return Member{name: name, epoch: epoch, until: until, suspect: slices.Clone(suspect)}
 }
@@ -101,10 +101,10 @@
 // Until returns the end of the VM's lease on the store's clock.
 func (m Member) Until() time.Duration { return m.until }
 
-// Suspects reports whether the VM cannot reach the primary of group.
-func (m Member) Suspects(group string) bool { return slices.Contains(m.suspect, group) }
+// Suspects reports whether the VM cannot reach primary.
+func (m Member) Suspects(primary string) bool { return slices.Contains(m.suspect, primary) }
 
-// Suspect returns the groups whose primary the VM cannot reach.
+// Suspect returns the primaries that the VM cannot reach.
 func (m Member) Suspect() []string { return slices.Clone(m.suspect) }
 
 // Pending returns the VMs that may still rely on records of before epoch, at the time store on the store's clock.
@@ -170,11 +170,16 @@
 	return chosen
 }
 
-// Agreed reports whether most of the VMs that watch it cannot reach the primary of group. A VM alone may be the one that is cut off.
-func Agreed(watching []Member, group string) bool {
+// Succeeds reports whether a server that leads a term has replaced the primary of a record. One that leads the same term or an older
+// one was replaced itself and does not know it yet.
+func Succeeds(term uint64, old Record) bool { return term > old.term }
+
+// Agreed reports whether most of the VMs that watch it cannot reach primary. A VM alone may be the one that is cut off. The server
+// counts, not its group: what a VM has said of the primary before says nothing of the new one.
+func Agreed(watching []Member, primary string) bool {
 	n := 0
 	for _, m := range watching {
-		if m.Suspects(group) {
+		if m.Suspects(primary) {
 			n++
 		}
 	}
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -93,8 +93,17 @@
 				return strings.Join(Pending(members(t, d.Input), epoch, duration(t, store)), " ")
 			case "agreed":
 				var store string
+				primary := "g"
 				d.ScanArgs(t, "store", &store)
-				return strconv.FormatBool(Agreed(Live(members(t, d.Input), duration(t, store)), "g"))
+				if d.HasArg("primary") {
+					d.ScanArgs(t, "primary", &primary)
+				}
+				return strconv.FormatBool(Agreed(Live(members(t, d.Input), duration(t, store)), primary))
+			case "succeeds":
+				var term, old uint64
+				d.ScanArgs(t, "term", &term)
+				d.ScanArgs(t, "old", &old)
+				return strconv.FormatBool(Succeeds(term, NewRecord(Moving, "s", old, "vm")))
 			case "isolated":
 				var unreachable, groups int
 				d.ScanArgs(t, "unreachable", &unreachable)
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -204,6 +204,11 @@
 	case "mute":
 		s.group.Server(number(0)).Mute(arg(1), arg(2) == "on")
 		return ""
+	case "deaf":
+		s.group.Server(number(0)).SetDeaf(arg(1) == "on")
+		return ""
+	case "orders":
+		return fmt.Sprint(len(s.orders))
 	case "lag":
 		s.group.Server(number(0)).SetLag(time.Minute)
 		return ""
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -441,12 +441,12 @@
 	e.mu.Lock()
 	sent, epoch := e.clock(), e.epoch
 	var suspect []string
-	for name, g := range e.groups {
+	for _, g := range e.groups {
 		if g.record.Phase() == lead.Moving {
 			g.serving = 0
 		}
 		if g.suspect {
-			suspect = append(suspect, name)
+			suspect = append(suspect, g.record.Server())
 		}
 	}
 	e.mu.Unlock()
--- a/io/elect/judge.go
+++ b/io/elect/judge.go
@@ -146,7 +146,7 @@
 			e.wake()
 		}
 	}
-	if !unreachable || !e.watches(name) || !lead.Agreed(e.watchersOf(name), name) {
+	if !unreachable || !e.watches(name) || !lead.Agreed(e.watchersOf(name), g.record.Server()) {
 		return nothing
 	}
 	return e.start(name, g, now, replace)
--- a/io/elect/move.go
+++ b/io/elect/move.go
@@ -62,6 +62,7 @@
 	group   string
 	old     string
 	keep    bool
+	ordered bool // a promotion has been ordered, which may take effect late
 	record  lead.Record
 	written time.Time
 }
@@ -79,6 +80,7 @@
 		if err != nil {
 			return "", err
 		}
+		stays := best.ID() == m.old
 		if !best.Primary() {
 			if err := m.write(ctx, lead.NewRecord(lead.Moving, m.old, m.record.Term(), m.e.name), false); err != nil {
 				return "", err
@@ -86,12 +88,13 @@
 			if !lead.MayOrder(m.e.clock(), m.written) {
 				return "", errTakenOver
 			}
+			m.ordered = true
 			err = m.e.orders.Promote(ctx, m.group, best.ID(), m.e.name, m.record.Version())
 			if err != nil {
 				m.e.log.Event(event.PromotionFailed, zap.String("group", m.group), zap.String("server", best.ID()), zap.Error(err))
 			}
 		}
-		if term, ok := m.leads(ctx, best.ID()); ok {
+		if term, ok := m.leads(ctx, best.ID(), stays); ok {
 			if err := m.write(ctx, lead.NewRecord(lead.Stable, best.ID(), term, m.e.name), false); err != nil {
 				return "", err
 			}
@@ -164,7 +167,7 @@
 	for try := 1; ctx.Err() == nil; try++ {
 		candidates, old, others := m.ask(!unreachable || m.e.clock().Sub(began) > catchUp)
 		late := m.e.clock().Sub(began) > catchUp
-		if (len(candidates) == 0 || m.keep) && old.Primary() && late {
+		if (len(candidates) == 0 || m.keep) && !m.ordered && old.Primary() && late {
 			return old, nil // The old primary serves, and no other server may replace it.
 		}
 		for _, c := range candidates {
@@ -213,7 +216,8 @@
 			}
 			lines = append(lines, s.ID()+": "+status.Received().String())
 			if able {
-				candidates = append(candidates, lead.NewCandidate(s.ID(), status.Received(), status.Primary()))
+				leads := status.Primary() && lead.Succeeds(status.Term(), m.record)
+				candidates = append(candidates, lead.NewCandidate(s.ID(), status.Received(), leads))
 			} else if s.ID() == m.old {
 				old = lead.NewCandidate(s.ID(), status.Received(), status.Primary() && !s.Draining())
 			}
@@ -225,12 +229,12 @@
 	return candidates, old, others
 }
 
-// leads waits until a server leads.
-func (m *mover) leads(ctx context.Context, id string) (uint64, bool) {
+// leads waits until a server leads: a term after that of the record, or if it stays the primary, the same one.
+func (m *mover) leads(ctx context.Context, id string, stays bool) (uint64, bool) {
 	end := m.e.clock().Add(effectLimit)
 	for ctx.Err() == nil && m.e.clock().Before(end) {
 		s, _, err := m.pg.Status(id, statusLimit)
-		if err == nil && s.Primary() {
+		if err == nil && s.Primary() && (stays || lead.Succeeds(s.Term(), m.record)) {
 			return s.Term(), true
 		}
 		if _, known := m.pg.Pool(id); !known {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -414,7 +414,8 @@
 func (ss *session) open(t target, end time.Time) error {
 	limit := ss.share(end, t.primary)
 	if err := t.conn.Adopt(limit, ss.values); err != nil {
-		return err
+		t.group.Suspect(t.conn.Server())
+		return result.Wrap(result.ConnectFailed, err, "setting the session's values on server %s", t.conn.Server())
 	}
 	asked := ss.s.p.Clock()
 	res, _, err := t.conn.Do(limit, exec.NewBegin(ss.tx.readOnly, t.after))
--- a/lab/lines/lines.go
+++ b/lab/lines/lines.go
@@ -47,6 +47,7 @@
 	leads    bool
 	log      []commit
 	mute     map[string]bool // verbs whose answers are lost after their effect
+	deaf     bool            // nothing that is asked has an effect or an answer
 	busy     bool            // statements are refused for want of a slot
 	lag      time.Duration   // how far behind it says that it applies the log while it follows
 	conns    map[net.Conn]struct{}
@@ -147,6 +148,13 @@
 	s.mute[verb] = on
 }
 
+// SetDeaf has the server ignore all that is asked of it, as if the network between it and the callers were cut.
+func (s *Server) SetDeaf(on bool) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	s.deaf = on
+}
+
 // SetBusy has the server refuse all that needs a slot.
 func (s *Server) SetBusy(on bool) {
 	s.g.mu.Lock()
@@ -297,6 +305,9 @@
 	s := ss.s
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
+	if s.deaf {
+		return "", errMuted
+	}
 	if prefix, rest, ok := strings.Cut(text, " "); ok && prefix == "AFTER" {
 		position, statement, _ := strings.Cut(rest, " ")
 		if !s.holds(position) {
