--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -18,6 +18,10 @@
 	path = "/relay"
 	// dialTimeout bounds the opening of a connection inside a data centre.
 	dialTimeout = 400 * time.Millisecond
+	// aliveInterval is how often an agent is asked for a sign of life while calls wait for its reply, and aliveLimit how long that may
+	// take. Calls for changes wait long by design, and a VM that stands still keeps its connections.
+	aliveInterval = 700 * time.Millisecond
+	aliveLimit    = 700 * time.Millisecond
 	// mostBytes bounds a message: the operators' configuration and the servers' entries fit several times.
 	mostBytes = 8 << 20
 )
@@ -64,9 +68,30 @@
 			c.answered(r)
 		}
 	}()
+	go func() {
+		t := time.NewTicker(aliveInterval)
+		defer t.Stop()
+		for {
+			select {
+			case <-life.Done():
+				return
+			case <-t.C:
+			}
+			if c.waits() {
+				_, _ = c.do(life, aliveLimit, call{Ping: true}) // A call without a reply ends the connection.
+			}
+		}
+	}()
 	return c, nil
 }
 
+// waits reports whether calls wait for a reply.
+func (c *client) waits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending) > 0
+}
+
 // answered hands a reply to the call that waits for it.
 func (c *client) answered(r reply) {
 	c.mu.Lock()
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
 
@@ -300,3 +303,37 @@
 		}
 	}
 }
+
+// silentAgent accepts calls and never answers, as a VM does that stands still.
+func silentAgent(t *testing.T) lead.Member {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, nil)
+		for err == nil {
+			_, _, err = ws.Read(r.Context())
+		}
+	}))
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return lead.NewMember("silent", 0, 0, nil).At("dc", srv.Listener.Addr().String())
+}
+
+// Guards against a call for changes that hangs at an agent which has gone silent while renewals go through another one.
+func TestSilentAgentIsLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFeed()
+	f.put("a", "1", false)
+	agent, v := newVM(t, "agent", f), newVM(t, "vm", newFeed())
+	agent.SetAgents([]lead.Member{agent.member()})
+	v.SetAgents([]lead.Member{silentAgent(t), agent.member()})
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	s, err := v.List(ctx, "t")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	v.failed = make(map[string]time.Time)
+	f.put("b", "1", false)
+	s, err = v.Changes(ctx, "t", s.Version, time.Hour)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.Rows).To(gomega.HaveLen(1))
+}
