--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -10,6 +10,7 @@
 	FilesLimit        ID = 105
 	LinesDropped      ID = 106
 	SettingsRead      ID = 107
+	PanicRecovered    ID = 108
 	CallerRefused     ID = 200
 	CallerProtocol    ID = 201
 	CallerClosed      ID = 202
@@ -70,6 +71,7 @@
 	{FilesLimit, LayerNode, "limit of open files lowers the limit of callers", "Raise the process's limit of open files, or lower limits.callers."},
 	{LinesDropped, LayerNode, "log lines dropped", "Check the counter of events; lines are dropped while they are logged faster than standard output accepts them."},
 	{SettingsRead, LayerNode, "settings file checked again", "Correct the errors, if any; changes take effect after a restart."},
+	{PanicRecovered, LayerNode, "panic recovered", "Report a bug with the stack; the connection concerned was closed and the others are not affected."},
 	{CallerRefused, LayerCaller, "caller refused", "Check the caller's user, password and service if it should have access."},
 	{CallerProtocol, LayerCaller, "caller violated the protocol", "Identify the client; its connection was closed and other callers are not affected."},
 	{CallerClosed, LayerCaller, "caller connection closed", "None."},
--- a/core/event/level.go
+++ b/core/event/level.go
@@ -32,6 +32,7 @@
 	NodeFailed:        LevelError,
 	KeysRefused:       LevelError,
 	FilesLimit:        LevelWarn,
+	PanicRecovered:    LevelError,
 	CallerProtocol:    LevelWarn,
 	CallerClosed:      LevelDebug,
 	RouteRetry:        LevelDebug,
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -33,6 +34,8 @@
 	notReadyDelay = 2200 * time.Millisecond
 	// stopReserve is the part of the grace period that is left for the last steps of a stop, so that the process ends by itself.
 	stopReserve = 500 * time.Millisecond
+	// backgroundTimeout bounds the wait for background goroutines at the end of a stop.
+	backgroundTimeout = 150 * time.Millisecond
 	// trimInterval is how often connections that have been idle for long are closed, reportInterval how often the number of
 	// sessions and of dropped log lines is reported.
 	trimInterval   = 200 * time.Millisecond
@@ -65,33 +68,40 @@
 
 // Edge is a running VM.
 type Edge struct {
-	settings  Settings
-	log       *logs.Log
-	logLines  *LogWriter
-	metrics   *metric.Set
-	directory *watch.Directory
-	pools     *pool.Set
-	elector   *elect.Elector
-	agents    *relay.Relay
-	entry     *entry.Server
-	stopping  atomic.Bool
-	cancel    context.CancelFunc
-	servers   []*http.Server
+	settings   Settings
+	log        logs.Logger
+	logLines   *LogWriter
+	metrics    *metric.Set
+	directory  *watch.Directory
+	pools      *pool.Set
+	elector    *elect.Elector
+	agents     *relay.Relay
+	entry      *entry.Server
+	stopping   atomic.Bool
+	cancel     context.CancelFunc
+	servers    []*http.Server
+	background sync.WaitGroup
 }
 
 // Start starts a VM that logs to out. Stop must be called on the result.
 func Start(s Settings, a Adapters, out *os.File) (*Edge, error) {
 	debug.SetGCPercent(gcPercent)
 	lines := NewLogWriter(out, s.LogLinesPerSecond())
-	log, err := logs.New(lines, logs.FormatJSON, s.LogLevel())
+	lineLog, err := logs.New(lines, logs.FormatJSON, s.LogLevel())
 	if err != nil {
 		return nil, err
 	}
+	metrics := metric.NewSet(entry.Catalog(metric.NewRegistry()), metric.ReportInterval)
+	panics := metrics.Counter(entry.Panics)
+	log := logs.NewCounting(lineLog, func(id event.ID) {
+		if id == event.PanicRecovered {
+			panics.Inc(1)
+		}
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Edge{
-		settings: s, log: log, logLines: lines, cancel: cancel,
-		metrics: metric.NewSet(entry.Catalog(metric.NewRegistry()), metric.ReportInterval),
-		pools:   pool.NewSet(s.VM(), s.DataCentre(), a.Dialer, s.VMs(), Clock, log),
+		settings: s, log: log, logLines: lines, cancel: cancel, metrics: metrics,
+		pools: pool.NewSet(s.VM(), s.DataCentre(), a.Dialer, s.VMs(), Clock, log),
 	}
 	log.Event(event.NodeStarted, zap.String("vm", s.VM()), zap.String("data_centre", s.DataCentre()))
 	var elector atomic.Pointer[elect.Elector]
@@ -127,7 +137,7 @@
 		cancel()
 		return nil, err
 	}
-	go func() {
+	e.background.Go(func() {
 		t := time.NewTicker(trimInterval)
 		defer t.Stop()
 		for {
@@ -138,8 +148,8 @@
 				e.pools.Trim()
 			}
 		}
-	}()
-	go func() {
+	})
+	e.background.Go(func() {
 		t := time.NewTicker(reportInterval)
 		defer t.Stop()
 		reported := int64(0)
@@ -155,7 +165,7 @@
 				}
 			}
 		}
-	}()
+	})
 	return e, nil
 }
 
@@ -182,7 +192,7 @@
 		}
 		srv := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 		e.servers = append(e.servers, srv)
-		go func() { _ = srv.Serve(l) }()
+		e.background.Go(func() { _ = srv.Serve(l) })
 	}
 	return nil
 }
@@ -211,7 +221,14 @@
 	}
 }
 
-// Stop shuts the VM down gracefully: it reports not ready, drains the sessions within the grace period and gives up the lease.
+// Stop shuts the VM down gracefully within the grace period, in this order:
+//
+//  1. The VM reports not ready, so that it gets no new sessions.
+//  2. The sessions end.
+//  3. The lease is given up, so that other VMs do not wait for it. After that no session may use a primary. The sessions that
+//     have not ended in time are closed.
+//  4. The background goroutines end. They log until then.
+//  5. The log is closed.
 func (e *Edge) Stop() {
 	e.stopping.Store(true)
 	e.log.Event(event.DrainPhase, zap.String("phase", "not ready"), zap.Int("sessions", e.entry.Sessions()))
@@ -222,15 +239,37 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
 	e.elector.Stop(ctx)
 	cancel()
+	e.entry.Close()
 	e.cancel()
 	for _, srv := range e.servers {
 		_ = srv.Close()
 	}
+	e.waitForBackground(backgroundTimeout)
 	e.log.Event(event.NodeStopped, zap.String("vm", e.settings.VM()))
 	_ = e.metrics.Close()
 	_ = e.logLines.Close()
 }
 
+// waitForBackground waits for at most limit until the background goroutines have ended.
+func (e *Edge) waitForBackground(limit time.Duration) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		e.entry.Wait()
+		e.elector.Wait()
+		e.directory.Wait()
+		e.agents.Wait()
+		e.background.Wait()
+	}()
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-ended:
+	case <-t.C:
+		e.log.Event(event.DrainTimeout, zap.String("phase", "background"))
+	}
+}
+
 // Run runs a VM with the given settings file until SIGTERM or SIGINT. On SIGHUP it checks the file again and logs the result;
 // changes take effect after a restart.
 func Run(file string, adapters func(Settings) Adapters) error {
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -16,6 +16,7 @@
 	"verbenagate/io/entry"
 	"verbenagate/io/watch"
 	"verbenagate/lab/lines"
+	"verbenagate/lab/ports"
 	"verbenagate/lab/rows"
 	"verbenagate/platform"
 )
@@ -34,6 +35,7 @@
 	routes          []string
 	version         int
 	promoteRequests []rows.PromoteRequest
+	wrap            func(net.Conn) entry.Conn // of the connections of callers to VMs that start from now on
 }
 
 type caller struct {
@@ -58,6 +60,7 @@
 func newDeployment(t *testing.T) *deployment {
 	s := &deployment{
 		t: t, vms: make(map[string]*edge.Edge), callers: make(map[string]string), conns: make(map[string]*caller),
+		wrap: func(conn net.Conn) entry.Conn { return platform.NewCallerConn(conn) },
 	}
 	var err error
 	if s.group, err = lines.NewGroup("ledger", 3); err != nil {
@@ -118,19 +121,20 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+// reserveAddress returns an address at which a VM can listen. No other process takes its port before the test ends.
+func reserveAddress(t *testing.T) string {
+	r, err := ports.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Cleanup(func() { _ = r.Close() })
+	return r.Addr()
 }
 
 func (s *deployment) startVM(name string) string {
-	callers := freeAddress(s.t)
+	callers := reserveAddress(s.t)
 	text := fmt.Sprintf("vm: %s\ndata_centre: dc0\ncallers: %s\nready: %s\nmetrics: %s\npeers: %s\nstore: %s\norders: %s\ngrace_s: 2\nvms: 3\n",
-		name, callers, freeAddress(s.t), freeAddress(s.t), freeAddress(s.t), s.store.Addr(), s.store.Addr())
+		name, callers, reserveAddress(s.t), reserveAddress(s.t), reserveAddress(s.t), s.store.Addr(), s.store.Addr())
 	settings, err := edge.Parse("vm.yaml", []byte(text))
 	if err != nil {
 		s.t.Fatal(err)
@@ -151,7 +155,7 @@
 			ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, ServerTable: platform.ServerTable,
 			ParseConfig: platform.ParseConfig, ParseServer: platform.ParseServer,
 		},
-		Wrap:      func(conn net.Conn) entry.Conn { return platform.NewCallerConn(conn) },
+		Wrap:      s.wrap,
 		ReadyPath: platform.ReadyPath,
 	}, out)
 	if err != nil {
@@ -183,7 +187,9 @@
 	case "vm":
 		return s.startVM(arg(0))
 	case "open":
-		return s.open(arg(0), arg(1), arg(2))
+		return s.open(arg(0), arg(1), arg(2), d.Input)
+	case "closed":
+		return s.readAnswer(s.conns[arg(0)])
 	case "send":
 		return s.send(arg(0), d.Input)
 	case "close":
@@ -279,7 +285,9 @@
 	return out.String()
 }
 
-func (s *deployment) open(name, vm, database string) string {
+// open opens a session. It sends the requests in the same write as the request to start the session, so that the session is never
+// idle before them, and returns the answers, one on each line.
+func (s *deployment) open(name, vm, database, requests string) string {
 	conn, err := net.Dial("tcp4", s.callers[vm])
 	if err != nil {
 		return "error: " + err.Error()
@@ -287,8 +295,18 @@
 	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
 	c := &caller{conn: conn, r: bufio.NewReader(conn)}
 	s.conns[name] = c
-	_, _ = fmt.Fprintf(conn, "START %s %s\r\n", database, name)
-	return s.readAnswer(c)
+	text := fmt.Sprintf("START %s %s\r\n", database, name)
+	var queries int
+	for l := range strings.Lines(requests) {
+		text += fmt.Sprintf("QUERY %s\r\n", strings.TrimRight(l, "\n"))
+		queries++
+	}
+	_, _ = fmt.Fprint(conn, text)
+	out := s.readAnswer(c)
+	for range queries {
+		out += "\n" + s.readAnswer(c)
+	}
+	return out
 }
 
 // send sends each line "ID TEXT" as a request, and returns the answers, one on each line. The id "-" stands for none.
@@ -329,7 +347,7 @@
 	s := newDeployment(t)
 	defer s.close()
 	s.startVM("a")
-	s.open("c", "a", "pay")
+	s.open("c", "a", "pay", "")
 	if got := s.send("c", "- BEGIN\nw1 WRITE x one"); !strings.HasSuffix(got, "T\n") {
 		t.Fatalf("the transaction is not open: %s", got)
 	}
--- a/io/edge/lines.go
+++ b/io/edge/lines.go
@@ -22,6 +22,7 @@
 	dropped atomic.Int64
 
 	mu       sync.Mutex
+	closed   bool
 	rate     float64
 	tokens   float64
 	refilled time.Time
@@ -47,18 +48,15 @@
 // Write queues b as one line, or drops it. It always returns len(b) and no error.
 func (l *LogWriter) Write(b []byte) (int, error) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	now := time.Now()
 	l.tokens = min(l.tokens+now.Sub(l.refilled).Seconds()*l.rate, l.rate*burstSeconds)
 	l.refilled = now
-	allowed := l.tokens >= 1
-	if allowed {
-		l.tokens--
-	}
-	l.mu.Unlock()
-	if !allowed {
+	if l.closed || l.tokens < 1 {
 		l.dropped.Add(1)
 		return len(b), nil
 	}
+	l.tokens--
 	select {
 	case l.queue <- append([]byte(nil), b...):
 	default:
@@ -70,9 +68,15 @@
 // Dropped returns the number of lines dropped so far.
 func (l *LogWriter) Dropped() int64 { return l.dropped.Load() }
 
-// Close waits until the queued lines are written. Write must not be called after it.
+// Close waits until the queued lines are written. Lines that are written after it are dropped.
 func (l *LogWriter) Close() error {
-	close(l.queue)
+	l.mu.Lock()
+	wasClosed := l.closed
+	l.closed = true
+	l.mu.Unlock()
+	if !wasClosed {
+		close(l.queue)
+	}
 	<-l.done
 	return nil
 }
--- a/io/elect/check.go
+++ b/io/elect/check.go
@@ -10,6 +10,7 @@
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
 	"verbenagate/core/port"
+	"verbenagate/io/logs"
 	"verbenagate/io/pool"
 	"verbenagate/io/watch"
 )
@@ -39,15 +40,15 @@
 		a, r := e.decideAction(view, pg, name)
 		switch a {
 		case actionProbe:
-			go e.probe(pg, name, r.Server())
+			e.background.Go(func() { e.probe(pg, name, r.Server()) })
 		case actionWriteFirst:
-			go e.runAction(name, func() { e.writeFirstRecord(ctx, pg, name) })
+			e.background.Go(func() { e.runAction(name, func() { e.writeFirstRecord(ctx, pg, name) }) })
 		case actionMove, actionResumeMove:
-			go e.runAction(name, func() { e.movePrimary(ctx, pg, name, r, false) })
+			e.background.Go(func() { e.runAction(name, func() { e.movePrimary(ctx, pg, name, r, false) }) })
 		case actionMoveForBacklog:
-			go e.runAction(name, func() { e.movePrimary(ctx, pg, name, r, true) })
+			e.background.Go(func() { e.runAction(name, func() { e.movePrimary(ctx, pg, name, r, true) }) })
 		case actionSurvey:
-			go e.surveyGroup(ctx, pg, name, r.Server())
+			e.background.Go(func() { e.surveyGroup(ctx, pg, name, r.Server()) })
 		case actionNone:
 		}
 	}
@@ -65,11 +66,14 @@
 
 // runAction runs an action started by startInTurn and then allows the group's next action.
 func (e *Elector) runAction(group string, run func()) {
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		g := e.group(group)
+		g.actionRunning, g.actionDueSince = false, time.Time{}
+	}()
+	defer logs.RecoverPanic(e.log, "action on a primary")
 	run()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	g := e.group(group)
-	g.actionRunning, g.actionDueSince = false, time.Time{}
 }
 
 // decideAction returns the action that a group needs now, with the record on which the decision is based.
@@ -181,15 +185,17 @@
 
 // probe requests a primary's status and records the result for failure detection.
 func (e *Elector) probe(pg *pool.Group, group, server string) {
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.group(group).probing = false
+	}()
 	sent := e.clock()
 	s, answered, err := pg.Status(server, probeTimeout)
 	if err == nil {
 		e.recordPosition(pg, group, server, sent, s.Received())
 	}
 	e.RecordAnswer(group, server, sent, answered)
-	e.mu.Lock()
-	e.group(group).probing = false
-	e.mu.Unlock()
 }
 
 // writeFirstRecord writes the first record of a group. Its primary is the server that reports the primary role, in the newest
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -101,7 +101,8 @@
 	renewSignal   chan struct{}
 	renewRequests chan *renewRequest
 
-	started time.Time
+	started    time.Time
+	background sync.WaitGroup
 
 	mu            sync.Mutex
 	groups        map[string]*groupState
@@ -134,13 +135,13 @@
 
 // Start renews the lease and checks the primaries in the background until ctx ends.
 func (e *Elector) Start(ctx context.Context) {
-	go watch.Follow(ctx, e.agents, leadTable, 0, e.clock, (*follower)(e))
-	go func() {
+	e.background.Go(func() { watch.Follow(ctx, e.agents, leadTable, 0, e.clock, (*follower)(e)) })
+	e.background.Go(func() {
 		for ctx.Err() == nil {
 			e.grantBatch(ctx)
 		}
-	}()
-	go func() {
+	})
+	e.background.Go(func() {
 		// The first lease needs the records. Reading them at once lets VMs that start together find their agents soon.
 		for ctx.Err() == nil && e.reloadRecords(ctx) != nil {
 			e.sleep(ctx, minRenewRetryDelay)
@@ -148,14 +149,14 @@
 		for ctx.Err() == nil {
 			e.renewAndWait(ctx)
 		}
-	}()
-	go func() {
+	})
+	e.background.Go(func() {
 		for n := 0; ctx.Err() == nil; n++ {
 			e.pingContact(ctx, n)
 			e.sleep(ctx, pingInterval)
 		}
-	}()
-	go func() {
+	})
+	e.background.Go(func() {
 		t := time.NewTicker(checkInterval)
 		defer t.Stop()
 		for {
@@ -166,15 +167,18 @@
 				e.checkPrimaries(ctx)
 			}
 		}
-	}()
-	go func() {
+	})
+	e.background.Go(func() {
 		for ctx.Err() == nil {
 			e.readMembers(ctx)
 			e.sleep(ctx, e.memberReadDelay())
 		}
-	}()
+	})
 }
 
+// Wait waits until the elector has ended all that Start began. Call it when the context passed to Start has ended.
+func (e *Elector) Wait() { e.background.Wait() }
+
 // PrimaryUse is permission to use a group's primary for one transaction or statement.
 type PrimaryUse struct {
 	e       *Elector
--- a/io/elect/survey.go
+++ b/io/elect/survey.go
@@ -16,10 +16,14 @@
 // surveyGroup requests the log positions of all servers of a group, and sets backlogMoveDue if the primary is to be replaced
 // because its replicas lag far behind.
 func (e *Elector) surveyGroup(ctx context.Context, pg *pool.Group, group, primaryID string) {
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.group(group).surveying = false
+	}()
 	primary, replicas, complete := readPositions(pg, primaryID)
 	e.mu.Lock()
 	g := e.group(group)
-	g.surveying = false
 	if g.record.Server() != primaryID || primary.IsZero() {
 		e.mu.Unlock()
 		return // An overloaded primary often does not answer in time. That says nothing about its replicas.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -72,9 +72,9 @@
 	listener net.Listener
 	stopping atomic.Bool
 
-	mu       sync.Mutex
-	sessions map[*session]struct{}
-	wg       sync.WaitGroup
+	mu         sync.Mutex
+	sessions   map[*session]struct{}
+	background sync.WaitGroup
 }
 
 // Listen starts to accept callers at address and returns the running Server. Stop ends it.
@@ -84,7 +84,7 @@
 		return nil, result.Wrap(result.ConnectFailed, err, "listening for callers at %s", address)
 	}
 	s := &Server{deps: deps, listener: l, sessions: make(map[*session]struct{})}
-	go func() {
+	s.background.Go(func() {
 		t := time.NewTicker(isolationCheckInterval)
 		defer t.Stop()
 		wasIsolated := false
@@ -100,8 +100,8 @@
 			}
 			wasIsolated = isolated
 		}
-	}()
-	go func() {
+	})
+	s.background.Go(func() {
 		for {
 			conn, err := l.Accept()
 			if errors.Is(err, net.ErrClosed) {
@@ -112,17 +112,14 @@
 				time.Sleep(10 * time.Millisecond)
 				continue
 			}
-			s.wg.Add(1)
-			go func() {
-				defer s.wg.Done()
-				s.serve(deps.Wrap(conn))
-			}()
+			s.background.Go(func() { s.serve(deps.Wrap(conn)) })
 		}
-	}()
+	})
 	return s, nil
 }
 
 func (s *Server) serve(conn Conn) {
+	defer logs.RecoverPanic(s.deps.Log, "session of a caller")
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetReadDeadline(time.Now().Add(sessionStartTimeout))
 	database, err := conn.ReadStart()
@@ -192,6 +189,18 @@
 	return s.Sessions()
 }
 
+// Close closes the connections of the sessions that are still open. Call it after Stop.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for ss := range s.sessions {
+		_ = ss.conn.Close()
+	}
+}
+
+// Wait waits until no goroutine of the server runs. Call it after Close, when the context passed to Listen has ended.
+func (s *Server) Wait() { s.background.Wait() }
+
 // closeIdleOnIsolation closes the idle sessions, so that their callers connect to a VM that can serve them.
 func (s *Server) closeIdleOnIsolation() {
 	s.mu.Lock()
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -7,6 +7,7 @@
 	Statements       = "statements_total"
 	StatementSeconds = "statement_seconds"
 	Sessions         = "sessions"
+	Panics           = "panics_total"
 )
 
 // latencyBuckets ranges from a read in the same data centre to the longest statement timeout.
@@ -16,5 +17,6 @@
 func Catalog(r *metric.Registry) *metric.Registry {
 	return r.Counter(Statements, "statements", "Statements that went to a server or failed, by result.", "result").
 		Histogram(StatementSeconds, "seconds", "Time from the arrival of a statement to the start of its answer.", latencyBuckets).
-		Gauge(Sessions, "sessions", "Open sessions of callers.")
+		Gauge(Sessions, "sessions", "Open sessions of callers.").
+		Counter(Panics, "panics", "Panics that ended one connection or one call.")
 }
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -49,17 +49,34 @@
 
 // Do sends one request and waits up to timeout for the answer. If that fails, the state of the connection is uncertain, and Release
 // closes it. The second result reports whether the request may have reached the server.
-func (c *Conn) Do(timeout time.Duration, op exec.Operation) (exec.Result, bool, error) {
+func (c *Conn) Do(timeout time.Duration, op exec.Operation) (r exec.Result, sent bool, err error) {
 	if timeout <= 0 {
 		return exec.Result{}, false, result.New(result.DeadlineTooClose, "no time left for a request to server %s", c.Server())
 	}
-	r, sent, err := c.ServerConn.Do(timeout, op)
-	if err != nil {
-		c.broken = true
-	}
+	wasBroken := c.broken
+	c.broken = true // until the whole answer has been read
+	sent = true
+	defer c.recoverPanic(&err)
+	r, sent, err = c.ServerConn.Do(timeout, op)
+	c.broken = wasBroken || err != nil
 	return r, sent, err
 }
 
+// Status requests the server's state and waits up to timeout for it.
+func (c *Conn) Status(timeout time.Duration) (s exec.ServerStatus, err error) {
+	defer c.recoverPanic(&err)
+	return c.ServerConn.Status(timeout)
+}
+
+// recoverPanic turns a panic over a server's answer into an error of this connection, so that the process and the other
+// connections go on. It must be deferred directly.
+func (c *Conn) recoverPanic(err *error) {
+	if p := recover(); p != nil {
+		logs.Panic(c.pool.log, "request to server "+c.Server(), p)
+		*err = result.New(result.Internal, "panic during a request to server %s", c.Server())
+	}
+}
+
 // Run sends a statement that occupies a slot of the server. It first waits until this VM runs fewer statements on the server than
 // is allowed to. Waiting statements with a lower priority number go first. The timeout covers the wait and the statement.
 func (c *Conn) Run(timeout time.Duration, priority int, op exec.Operation) (exec.Result, bool, error) {
@@ -68,9 +85,8 @@
 		return exec.Result{}, false, result.New(result.QueueFull, "timed out waiting for a free slot of server %s", c.Server())
 	}
 	slotAcquired := c.pool.clock()
-	r, sent, err := c.Do(timeout-slotAcquired.Sub(start), op)
-	c.pool.releaseSlot(c.pool.clock().Sub(slotAcquired))
-	return r, sent, err
+	defer func() { c.pool.releaseSlot(c.pool.clock().Sub(slotAcquired)) }()
+	return c.Do(timeout-slotAcquired.Sub(start), op)
 }
 
 // SetSessionValues sets the session values of the connection to values. If the connection has a value that is not in values, it is
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -169,18 +170,20 @@
 	g.Expect(p.acquireSlot(timeout, 1)).To(gomega.BeTrue())
 	g.Expect(p.acquireSlot(time.Millisecond, 0)).To(gomega.BeFalse())
 	order := make(chan int, 2)
+	var running sync.WaitGroup
 	for n, priority := range []int{2, 1} {
-		go func() {
+		running.Go(func() {
 			p.acquireSlot(timeout, priority)
 			order <- priority
 			p.releaseSlot(time.Millisecond)
-		}()
+		})
 		for p.State().Queue <= n {
 			time.Sleep(time.Millisecond)
 		}
 	}
 	p.releaseSlot(time.Millisecond)
 	g.Expect([]int{<-order, <-order}).To(gomega.Equal([]int{1, 2}))
+	running.Wait()
 	g.Expect(p.State().Running).To(gomega.BeZero())
 }
 
--- a/io/relay/hub.go
+++ b/io/relay/hub.go
@@ -29,6 +29,8 @@
 	store port.RowReader
 	clock func() time.Time
 
+	following sync.WaitGroup
+
 	mu          sync.Mutex
 	followed    map[string]*followedTable
 	recentLists map[string]*recentList
@@ -117,7 +119,7 @@
 		ctx, cancel := context.WithCancel(h.ctx)
 		t = &followedTable{name: name, cancel: cancel, rows: make(map[string]port.Row), changed: make(chan struct{})}
 		h.followed[name] = t
-		go watch.Follow(ctx, h.store, name, 0, h.clock, t)
+		h.following.Go(func() { watch.Follow(ctx, h.store, name, 0, h.clock, t) })
 	}
 	t.activeCalls++
 	if t.idleTimer != nil {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -54,6 +54,7 @@
 	hub   *hub
 	clock func() time.Time
 	log   logs.Logger
+	ended chan struct{} // closed when the relay has closed its connections
 
 	mu            sync.Mutex
 	agents        []lead.Member
@@ -61,6 +62,8 @@
 	clients       map[string]*client // by address
 	granter       Granter
 	server        *http.Server
+	closed        bool
+	serving       sync.WaitGroup     // connections of other VMs, and the goroutine that accepts them
 	endAgentsWait context.CancelFunc // ends agentsWait
 	agentsWait    context.Context
 }
@@ -70,9 +73,12 @@
 func New(ctx context.Context, self string, store port.RowReader, clock func() time.Time, log logs.Logger) *Relay {
 	r := &Relay{
 		self: self, store: store, hub: newHub(ctx, store, clock), clock: clock, log: log,
-		failedUntil: make(map[string]time.Time), clients: make(map[string]*client),
+		failedUntil: make(map[string]time.Time), clients: make(map[string]*client), ended: make(chan struct{}),
 	}
-	context.AfterFunc(ctx, r.close)
+	context.AfterFunc(ctx, func() {
+		defer close(r.ended)
+		r.close()
+	})
 	r.agentsWait, r.endAgentsWait = context.WithTimeout(ctx, agentsWaitTimeout)
 	return r
 }
@@ -85,7 +91,14 @@
 	r.mu.Lock()
 	r.server = srv
 	r.mu.Unlock()
-	go func() { _ = srv.Serve(l) }()
+	r.serving.Go(func() { _ = srv.Serve(l) })
+}
+
+// Wait waits until the relay serves no calls and follows no tables any more. Call it when the context passed to New has ended.
+func (r *Relay) Wait() {
+	<-r.ended
+	r.serving.Wait()
+	r.hub.following.Wait()
 }
 
 // SetGranter sets the Granter that renews leases on this VM. It must be called before the first renewal.
@@ -295,6 +308,7 @@
 	r.mu.Lock()
 	clients, srv := r.clients, r.server
 	r.clients = make(map[string]*client)
+	r.closed = true
 	r.mu.Unlock()
 	for _, c := range clients {
 		c.close(net.ErrClosed)
@@ -304,12 +318,30 @@
 	}
 }
 
+// startServing registers a connection of another VM. It returns false if the relay is closed.
+func (r *Relay) startServing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.closed {
+		r.serving.Add(1)
+	}
+	return !r.closed
+}
+
 // serveConnection carries out the calls on a connection of another VM concurrently, until it fails.
 func (r *Relay) serveConnection(w http.ResponseWriter, req *http.Request) {
+	if !r.startServing() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer r.serving.Done()
+	defer logs.RecoverPanic(r.log, "connection of another VM")
 	ws, err := websocket.Accept(w, req, nil)
 	if err != nil {
 		return // Accept has answered the request.
 	}
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	ctx, cancel := context.WithCancel(r.hub.ctx)
 	defer cancel()
 	defer func() { _ = ws.CloseNow() }()
@@ -323,15 +355,20 @@
 			r.log.Event(event.AgentFailed, zap.String("agent", r.self), zap.Error(err))
 			return
 		}
-		go func() {
+		calls.Go(func() {
+			answered := false
+			defer func() {
+				if !answered {
+					cancel() // The other VM would wait for the reply; closing the connection tells it that none comes.
+				}
+			}()
+			defer logs.RecoverPanic(r.log, "call of another VM")
 			data, err := cbor.Marshal(r.execute(ctx, q))
 			if err == nil {
 				err = ws.Write(ctx, websocket.MessageBinary, data)
 			}
-			if err != nil {
-				cancel()
-			}
-		}()
+			answered = err == nil
+		})
 	}
 }
 
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -141,14 +141,20 @@
 	store   *fakeStore
 	granter *fakeGranter
 	address string
-	stop    context.CancelFunc
+	cancel  context.CancelFunc
+}
+
+// stop ends the VM. When it returns, the VM answers no calls.
+func (v *vm) stop() {
+	v.cancel()
+	v.Wait()
 }
 
 // newVM returns a VM that uses f when it calls the store itself.
 func newVM(t *testing.T, name string, f *fakeStore) *vm {
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
-	v := &vm{Relay: New(ctx, name, f, time.Now, discardLogger{}), store: f, granter: &fakeGranter{}, stop: cancel}
+	v := &vm{Relay: New(ctx, name, f, time.Now, discardLogger{}), store: f, granter: &fakeGranter{}, cancel: cancel}
 	v.SetGranter(v.granter)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -341,3 +347,40 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(s.Rows).To(gomega.HaveLen(1))
 }
+
+// panickingGranter panics over the renewals of one VM.
+type panickingGranter struct{ fakeGranter }
+
+func (g *panickingGranter) Grant(ctx context.Context, m lead.Member, leave bool) error {
+	if m.Name() == "poison" {
+		panic("malformed renewal")
+	}
+	return g.fakeGranter.Grant(ctx, m, leave)
+}
+
+// Guards against a call of one VM that ends the agent's process, and against a VM that waits for the reply until its time limit.
+// A message that cannot be decoded and a call that panics end the connection they came on; the calls of other VMs go on.
+func TestMalformedCallEndsOneConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	agent := newVM(t, "agent", newFakeStore())
+	granter := &panickingGranter{}
+	agent.SetGranter(granter)
+	neighbour, poison := newVM(t, "vm", newFakeStore()), newVM(t, "poison", newFakeStore())
+	agents := []lead.Member{agent.member()}
+	neighbour.SetAgents(agents)
+	poison.SetAgents(agents)
+	g.Expect(neighbour.Renew(t.Context(), neighbour.member(), false)).To(gomega.Succeed())
+
+	ws, resp, err := websocket.Dial(t.Context(), "ws://"+agent.address+relayPath, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(resp.Body == nil || resp.Body.Close() == nil).To(gomega.BeTrue())
+	g.Expect(ws.Write(t.Context(), websocket.MessageBinary, []byte{0xff, 0, 0x9f})).To(gomega.Succeed())
+	_, _, err = ws.Read(t.Context())
+	g.Expect(err).To(gomega.HaveOccurred())
+
+	g.Expect(poison.Renew(t.Context(), poison.member(), false)).To(gomega.Succeed())
+	g.Expect(poison.granter.recordedRenewals()).To(gomega.HaveLen(1), "the agent could not carry out the call")
+	g.Expect(neighbour.Renew(t.Context(), neighbour.member(), false)).To(gomega.Succeed())
+	g.Expect(granter.recordedRenewals()).To(gomega.HaveLen(2))
+	g.Expect(neighbour.granter.recordedRenewals()).To(gomega.BeEmpty(), "the agent made both calls")
+}
--- a/io/watch/directory.go
+++ b/io/watch/directory.go
@@ -60,6 +60,8 @@
 	view     atomic.Pointer[View]
 	onChange func(*View)
 
+	background sync.WaitGroup
+
 	mu            sync.Mutex
 	config        layout.Config
 	servers       map[string]layout.Server
@@ -78,17 +80,24 @@
 		servers: make(map[string]layout.Server), removeAfter: make(map[string]time.Time),
 	}
 	d.view.Store(&View{servers: map[string]layout.Server{}})
-	go Follow(ctx, rows, source.ConfigTable, directoryBatchDelay, clock, (*configFollower)(d))
-	go Follow(ctx, rows, source.ServerTable, directoryBatchDelay, clock, (*serverFollower)(d))
-	go func() {
+	d.background.Go(func() {
+		Follow(ctx, rows, source.ConfigTable, directoryBatchDelay, clock, (*configFollower)(d))
+	})
+	d.background.Go(func() {
+		Follow(ctx, rows, source.ServerTable, directoryBatchDelay, clock, (*serverFollower)(d))
+	})
+	d.background.Go(func() {
 		for ctx.Err() == nil {
 			sleep(ctx, 200*time.Millisecond)
 			d.removeExpired()
 		}
-	}()
+	})
 	return d
 }
 
+// Wait waits until the directory no longer follows the tables. Call it when the context passed to NewDirectory has ended.
+func (d *Directory) Wait() { d.background.Wait() }
+
 // View returns the current view.
 func (d *Directory) View() *View { return d.view.Load() }
 
--- a/io/watch/follow.go
+++ b/io/watch/follow.go
@@ -4,9 +4,11 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 	"time"
 
 	"verbenagate/core/port"
+	"verbenagate/core/result"
 	"verbenagate/core/retry"
 )
 
@@ -56,19 +58,43 @@
 			failures++
 			f.CallFailed(err)
 			sleep(ctx, backoff.Delay(failures, retry.Jitter()))
-		case listed:
-			failures, version = 0, max(version, s.Version)
-			f.Change(sent, s)
+		default:
+			if err := deliver(f, sent, s, listed); err != nil {
+				listed = false
+				failures++
+				f.CallFailed(err)
+				sleep(ctx, backoff.Delay(failures, retry.Jitter()))
+				continue
+			}
+			failures = 0
+			if !listed {
+				listed, version = true, s.Version
+				continue
+			}
+			version = max(version, s.Version)
 			if len(s.Rows) > 0 && batchDelay > 0 {
 				sleep(ctx, batchDelay)
 			}
-		default:
-			listed, failures, version = true, 0, s.Version
-			f.Reset(sent, s)
 		}
 	}
 }
 
+// deliver passes rows to the follower. It returns a panic of the follower, which a malformed row may cause, as an error, so that
+// the process and the other tables go on.
+func deliver(f Follower, sent time.Time, s port.Snapshot, isChange bool) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = result.New(result.Internal, "panic while rows were applied: %v\n%s", p, debug.Stack())
+		}
+	}()
+	if isChange {
+		f.Change(sent, s)
+	} else {
+		f.Reset(sent, s)
+	}
+	return nil
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/io/watch/follow_test.go
+++ b/io/watch/follow_test.go
@@ -71,3 +71,34 @@
 	<-c.resets
 	<-c.changes
 }
+
+// panickingFollower panics over the first change, as over a malformed row.
+type panickingFollower struct {
+	countingFollower
+	failures chan error
+	panicked bool
+}
+
+func (p *panickingFollower) Change(sent time.Time, s port.Snapshot) {
+	if !p.panicked {
+		p.panicked = true
+		panic("malformed row")
+	}
+	p.countingFollower.Change(sent, s)
+}
+
+func (p *panickingFollower) CallFailed(err error) { p.failures <- err }
+
+// Guards against a malformed row that ends the process. The table is listed again.
+func TestPanicOfFollowerIsAFailure(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := &panickingFollower{countingFollower: countingFollower{make(chan struct{}, 9), make(chan struct{}, 9)}, failures: make(chan error, 9)}
+	var following sync.WaitGroup
+	defer following.Wait()
+	defer cancel()
+	following.Go(func() { Follow(ctx, &changingTable{}, "t", time.Hour, time.Now, p) })
+	<-p.resets
+	<-p.failures
+	<-p.resets
+	<-p.changes
+}
--- a/lab/lines/lines.go
+++ b/lab/lines/lines.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"verbenagate/lab/ports"
 )
 
 // logEntry is one committed write in the log of a server.
@@ -41,7 +43,7 @@
 type Server struct {
 	group          *Group
 	id             string
-	addr           string
+	port           *ports.Reservation // kept while the server is stopped, so that no other process takes its port
 	listener       net.Listener
 	term           uint64
 	isLeader       bool
@@ -58,11 +60,15 @@
 func NewGroup(name string, n int) (*Group, error) {
 	g := &Group{name: name}
 	for i := range n {
+		port, err := ports.Reserve()
+		if err != nil {
+			return nil, err
+		}
 		s := &Server{
-			group: g, id: fmt.Sprintf("%s-%d", name, i), term: 1, isLeader: i == 0, repliesDropped: make(map[string]bool),
-			conns: make(map[net.Conn]struct{}),
+			group: g, id: fmt.Sprintf("%s-%d", name, i), port: port, term: 1, isLeader: i == 0,
+			repliesDropped: make(map[string]bool), conns: make(map[net.Conn]struct{}),
 		}
-		if err := s.listen("127.0.0.1:0"); err != nil {
+		if err := s.listen(); err != nil {
 			return nil, err
 		}
 		g.servers = append(g.servers, s)
@@ -121,10 +127,11 @@
 	return fmt.Errorf("promote server %s: it is stopped or not in the group", id)
 }
 
-// Close stops all servers.
+// Close stops all servers and releases their ports.
 func (g *Group) Close() {
 	for _, s := range g.servers {
 		s.Stop()
+		_ = s.port.Close()
 	}
 }
 
@@ -132,7 +139,7 @@
 func (s *Server) ID() string { return s.id }
 
 // Addr returns the server's address.
-func (s *Server) Addr() string { return s.addr }
+func (s *Server) Addr() string { return s.port.Addr() }
 
 // IsLeader reports whether the server acts as leader. After a promotion an old leader does so until it is demoted.
 func (s *Server) IsLeader() bool {
@@ -182,12 +189,12 @@
 	return all
 }
 
-func (s *Server) listen(address string) error {
-	l, err := net.Listen("tcp4", address)
+func (s *Server) listen() error {
+	l, err := net.Listen("tcp4", s.port.Addr())
 	if err != nil {
 		return err
 	}
-	s.listener, s.addr = l, l.Addr().String()
+	s.listener = l
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -226,7 +233,7 @@
 	if leader := s.group.leader(); leader != s {
 		s.isLeader = false
 	}
-	return s.listen(s.addr)
+	return s.listen()
 }
 
 // session is one connection to a server.
