io/relay: pass on servers' entries only if they mean something new

Cause: each server writes its entry every 1.2 s, so an agent's call for changes returned some 25 times a second, at a price, and woke every VM of its data centre. Change: an agent collects changes of servers' entries for a while and passes a row on only if it parses to something else; a directory publishes no view for a row without change. Ruled out: longer waits alone, as the calls return at once.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -38,6 +38,8 @@
 	stopReserve = 500 * time.Millisecond
 	// backgroundTimeout bounds the wait for background goroutines at the end of a stop.
 	backgroundTimeout = 150 * time.Millisecond
+	// serverBatchDelay is how long an agent collects changes of servers' entries, each of which changes every second or so.
+	serverBatchDelay = 400 * time.Millisecond
 	// trimInterval is how often connections that have been idle for long are closed, reportInterval how often the number of
 	// sessions and of dropped log lines is reported.
 	trimInterval   = 200 * time.Millisecond
@@ -114,7 +116,9 @@
 	if s.Peers() != "" {
 		e.pools.SetForwarder(forwarder)
 	}
-	agents := relay.New(ctx, s.VM(), a.Rows, clients, Clock, log)
+	agents := relay.New(ctx, s.VM(), a.Rows, map[string]relay.Table{
+		a.Source.ServerTable: {BatchDelay: serverBatchDelay, Equal: a.Source.SameServer},
+	}, clients, Clock, log)
 	e.agents = agents
 	e.directory = watch.NewDirectory(ctx, agents, a.Source, Clock, log, func(v *watch.View) {
 		e.pools.Update(v)
--- a/io/relay/hub.go
+++ b/io/relay/hub.go
@@ -23,11 +23,20 @@
 	maxTombstones = 1000
 )
 
+// Table says how an agent follows a table.
+type Table struct {
+	// BatchDelay is how long changes are collected before the next call of the store. 0 is for changes that VMs wait for.
+	BatchDelay time.Duration
+	// Equal reports whether two values of a row mean the same to the VMs. If it is set, changes between such values are not passed on.
+	Equal func(old, new []byte) bool
+}
+
 // hub follows each table of the store once, on behalf of all VMs that read it.
 type hub struct {
-	ctx   context.Context
-	store port.RowReader
-	clock func() time.Time
+	ctx    context.Context
+	store  port.RowReader
+	tables map[string]Table
+	clock  func() time.Time
 
 	following sync.WaitGroup
 
@@ -36,9 +45,9 @@
 	recentLists map[string]*recentList
 }
 
-func newHub(ctx context.Context, store port.RowReader, clock func() time.Time) *hub {
+func newHub(ctx context.Context, store port.RowReader, tables map[string]Table, clock func() time.Time) *hub {
 	return &hub{
-		ctx: ctx, store: store, clock: clock,
+		ctx: ctx, store: store, tables: tables, clock: clock,
 		followed: make(map[string]*followedTable), recentLists: make(map[string]*recentList),
 	}
 }
@@ -117,9 +126,12 @@
 	t, ok := h.followed[name]
 	if !ok {
 		ctx, cancel := context.WithCancel(h.ctx)
-		t = &followedTable{name: name, cancel: cancel, rows: make(map[string]port.Row), changed: make(chan struct{})}
+		options := h.tables[name]
+		t = &followedTable{
+			name: name, cancel: cancel, equal: options.Equal, rows: make(map[string]port.Row), changed: make(chan struct{}),
+		}
 		h.followed[name] = t
-		h.following.Go(func() { watch.Follow(ctx, h.store, name, 0, h.clock, t) })
+		h.following.Go(func() { watch.Follow(ctx, h.store, name, options.BatchDelay, h.clock, t) })
 	}
 	t.activeCalls++
 	if t.idleTimer != nil {
@@ -151,11 +163,12 @@
 type followedTable struct {
 	name        string
 	cancel      context.CancelFunc
+	equal       func(old, new []byte) bool // may be nil
 	activeCalls int         // guarded by hub.mu
 	idleTimer   *time.Timer // guarded by hub.mu
 
 	mu           sync.Mutex
-	rows         map[string]port.Row // deleted rows included
+	rows         map[string]port.Row // deleted rows included; each as of its last change that is passed on
 	tombstones   int
 	historyFloor uint64 // changes up to this version are not held individually
 	version      uint64
@@ -169,7 +182,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	clear(t.rows)
-	t.historyFloor, t.tombstones, t.listed = s.Version, 0, true
+	t.historyFloor, t.tombstones, t.listed = s.Version, 0, false
 	t.applyRows(s)
 }
 
@@ -190,19 +203,27 @@
 
 // applyRows stores rows that were received from the store. The caller holds mu.
 func (t *followedTable) applyRows(s port.Snapshot) {
-	t.lastErr = nil
+	changed := t.lastErr != nil || !t.listed
+	t.lastErr, t.listed = nil, true
 	for _, r := range s.Rows {
+		t.version = max(t.version, r.Version)
+		old, known := t.rows[r.Key]
+		if known && !old.Deleted && !r.Deleted && t.equal != nil && t.equal(old.Value, r.Value) {
+			continue
+		}
 		if r.Deleted {
 			t.tombstones++
 		}
 		t.rows[r.Key] = r
-		t.version = max(t.version, r.Version)
+		changed = true
 	}
 	t.version = max(t.version, s.Version)
 	if t.tombstones > maxTombstones {
 		t.dropTombstones()
 	}
-	t.wakeWaiters()
+	if changed {
+		t.wakeWaiters()
+	}
 }
 
 // dropTombstones drops the deleted rows. VMs that have not received them must list the table again. The caller holds mu.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -60,12 +60,13 @@
 	agentsWait    context.Context
 }
 
-// New returns the relay of the VM self. Until SetAgents names other VMs, it calls the store itself. It follows no tables any more
-// when ctx ends.
-func New(ctx context.Context, self string, store port.RowReader, clients *link.Clients, clock func() time.Time, log logs.Logger,
+// New returns the relay of the VM self. Until SetAgents names other VMs, it calls the store itself. Tables says how the VM follows
+// tables on behalf of others. It follows none any more when ctx ends.
+func New(ctx context.Context, self string, store port.RowReader, tables map[string]Table, clients *link.Clients,
+	clock func() time.Time, log logs.Logger,
 ) *Relay {
 	r := &Relay{
-		self: self, store: store, hub: newHub(ctx, store, clock), clients: clients, clock: clock, log: log,
+		self: self, store: store, hub: newHub(ctx, store, tables, clock), clients: clients, clock: clock, log: log,
 		failedUntil: make(map[string]time.Time),
 	}
 	r.agentsWait, r.endAgentsWait = context.WithTimeout(ctx, agentsWaitTimeout)
--- a/io/watch/directory.go
+++ b/io/watch/directory.go
@@ -17,7 +17,7 @@
 
 // reregisterGrace is how long servers may take to register again after an outage of the store. A server that is still missing
 // after that is removed.
-const reregisterGrace = 2300 * time.Millisecond
+const reregisterGrace = 2700 * time.Millisecond
 
 // directoryBatchDelay is how long changes of the configuration and of the servers are batched. A change may take seconds until
 // it is in force.
@@ -31,6 +31,13 @@
 	ParseServer            func(id string, value []byte) (layout.Server, error)
 }
 
+// SameServer reports whether two values of a server's row describe the same server in the same state.
+func (s Source) SameServer(a, b []byte) bool {
+	serverA, errA := s.ParseServer("", a)
+	serverB, errB := s.ParseServer("", b)
+	return errA == nil && errB == nil && serverA == serverB
+}
+
 // View is an immutable snapshot of the configuration in force and of the registered servers.
 type View struct {
 	config  layout.Config
