io/elect, io/relay: tell VMs of the fleet only when it changes

At the start, before they had read that list, all 295 VMs wrote the first record of all 20 groups. Change: the list goes out without lease ends and only if its hash differs, with jitter; a VM acts on groups once the list contains it; a mover follows the leases' changes in place of reading all of them 25 times a second; renewals are batched for 0.5 s. Ruled out: processor time as the cause, the busiest VM used 0.03 cores of 0.19.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -39,7 +39,7 @@
 	// backgroundTimeout bounds the wait for background goroutines at the end of a stop.
 	backgroundTimeout = 150 * time.Millisecond
 	// serverBatchDelay is how long an agent collects changes of servers' entries, each of which changes every second or so.
-	serverBatchDelay = 400 * time.Millisecond
+	serverBatchDelay = 600 * time.Millisecond
 	// trimInterval is how often connections that have been idle for long are closed, reportInterval how often the number of
 	// sessions and of dropped log lines is reported.
 	trimInterval   = 200 * time.Millisecond
--- a/io/elect/check.go
+++ b/io/elect/check.go
@@ -82,7 +82,7 @@
 	defer e.mu.Unlock()
 	g := e.group(name)
 	now := e.clock()
-	if g.actionRunning || e.stopping || !e.recordsRead || !e.lease.Valid(now) {
+	if g.actionRunning || e.stopping || !e.recordsRead || !e.lease.Valid(now) || !e.listed {
 		return actionNone, lead.Record{}
 	}
 	members := pg.Members()
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -29,9 +29,11 @@
 	probeAfter = 400 * time.Millisecond
 	// probeTimeout bounds a status request to a primary.
 	probeTimeout = 400 * time.Millisecond
-	// memberReadInterval is how often the list of VMs is read; suspectReadInterval applies while a watched primary is suspected.
+	// memberReadInterval is how often the list of VMs is read on average; suspectReadInterval applies while a watched primary is suspected.
 	memberReadInterval  = 5 * time.Second
 	suspectReadInterval = 100 * time.Millisecond
+	// fleetMaxAge is how old the list of VMs may be while no primary is suspected.
+	fleetMaxAge = time.Second
 	// startupReadInterval applies while the list names at most one VM: after a start it may lack most of them.
 	startupReadInterval = 800 * time.Millisecond
 	// rankDelay staggers the VMs that may act on a group, so that normally only one of them acts.
@@ -77,8 +79,8 @@
 // Agents calls the store through the agents, the VMs that make the store calls for all VMs of a data centre.
 type Agents interface {
 	port.RowReader
-	// ListRecent returns the rows of a table, which may be slightly stale.
-	ListRecent(ctx context.Context, table string) (port.Snapshot, error)
+	// ReadFleet returns the live VMs as of at most maxAge ago.
+	ReadFleet(ctx context.Context, maxAge time.Duration) (lead.Fleet, error)
 	// Renew renews this VM's lease, or gives it up if leave is set.
 	Renew(ctx context.Context, m lead.Member, leave bool) error
 	// SetAgents sets the VMs that act as agents.
@@ -104,6 +106,10 @@
 	started    time.Time
 	background sync.WaitGroup
 
+	fleetMu     sync.Mutex // held while the list of VMs is read, so that concurrent calls share one read
+	fleet       lead.Fleet
+	fleetReadAt time.Time // when the call that returned fleet was made
+
 	mu            sync.Mutex
 	groups        map[string]*groupState
 	epoch         uint64
@@ -114,6 +120,7 @@
 	ownRowVersion uint64 // version of this VM's row; 0 if unknown
 	grants        lead.Grants
 	members       []lead.Member
+	listed        bool                     // members contains this VM; before, VMs that start together would all act on each group
 	watchers      map[string][]lead.Member // by group; cache derived from members
 	contacts      []lead.Member            // VMs of other data centres that are pinged in turn
 	isolation     lead.IsolationDetector
@@ -494,32 +501,49 @@
 	return false
 }
 
-// readMembers reads the list of VMs and updates all that is derived from it. While a watched primary is suspected, it reads the
-// list from the store itself.
+// readMembers reads the list of VMs and updates all that is derived from it. While a watched primary is suspected, the list must
+// be fresh.
 func (e *Elector) readMembers(ctx context.Context) {
-	sent := e.clock()
-	list := e.agents.ListRecent
+	maxAge := fleetMaxAge
 	if e.isWatchedPrimarySuspected() {
-		list = e.rows.List
+		maxAge = suspectReadInterval
 	}
-	s, err := list(ctx, memberTable)
+	fleet, err := e.agents.ReadFleet(ctx, maxAge)
 	if err != nil {
 		return
 	}
+	e.mu.Lock()
+	e.members, e.watchers = fleet.Live(), make(map[string][]lead.Member)
+	e.listed = slices.ContainsFunc(e.members, func(m lead.Member) bool { return m.Name() == e.name })
+	e.contacts = lead.Contacts(e.members, e.name, e.self.DataCentre())
+	agents := lead.Agents(e.members, e.self.DataCentre())
+	e.mu.Unlock()
+	e.pools.SetMembers(fleet.Live(), fleet.Holders())
+	e.agents.SetAgents(agents)
+}
+
+// ReadFleet implements relay.Granter: it returns the live VMs as of at most maxAge ago, from the store if need be.
+func (e *Elector) ReadFleet(ctx context.Context, maxAge time.Duration) (lead.Fleet, error) {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	sent := e.clock()
+	if !e.fleetReadAt.IsZero() && sent.Sub(e.fleetReadAt) < maxAge {
+		return e.fleet, nil
+	}
+	s, err := e.rows.List(ctx, memberTable)
+	if err != nil {
+		return lead.Fleet{}, err
+	}
 	members, err := decodeMembers(s.Rows)
 	if err != nil {
 		e.log.Event(event.InvariantViolated, zap.Error(err))
-		return
+		return lead.Fleet{}, err
 	}
 	e.mu.Lock()
 	e.recordStoreClock(sent, s)
-	e.members, e.watchers = lead.LiveMembers(members, s.Clock), make(map[string][]lead.Member)
-	e.contacts = lead.Contacts(e.members, e.name, e.self.DataCentre())
-	agents, live := lead.Agents(e.members, e.self.DataCentre()), e.members
-	n := lead.ConnectionHolders(members, s.Clock)
 	e.mu.Unlock()
-	e.pools.SetMembers(live, n)
-	e.agents.SetAgents(agents)
+	e.fleet, e.fleetReadAt = lead.FleetOf(members, s.Clock), sent
+	return e.fleet, nil
 }
 
 func (e *Elector) memberReadDelay() time.Duration {
@@ -528,10 +552,10 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.members) <= 1 {
+	if len(e.members) <= 1 || !e.listed {
 		return startupReadInterval
 	}
-	return memberReadInterval
+	return memberReadInterval*3/4 + time.Duration(retry.Jitter()*float64(memberReadInterval)/2)
 }
 
 // isWatchedPrimarySuspected reports whether this VM watches a primary that is suspected or to be replaced.
@@ -558,12 +582,8 @@
 	return w
 }
 
-// isWatcher reports whether this VM watches the group's primary. Until it has read the list of VMs, it watches every primary. The
-// caller holds mu.
+// isWatcher reports whether this VM watches the group's primary. The caller holds mu.
 func (e *Elector) isWatcher(group string) bool {
-	if len(e.members) == 0 {
-		return true
-	}
 	return slices.ContainsFunc(e.watchersOf(group), func(m lead.Member) bool { return m.Name() == e.name })
 }
 
--- a/io/elect/grant.go
+++ b/io/elect/grant.go
@@ -14,7 +14,7 @@
 
 const (
 	// batchWindow is how long renewals are collected for one transaction; urgentBatchWindow applies once one of them is urgent.
-	batchWindow       = 300 * time.Millisecond
+	batchWindow       = 500 * time.Millisecond
 	urgentBatchWindow = 15 * time.Millisecond
 )
 
--- a/io/elect/move.go
+++ b/io/elect/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -19,8 +20,10 @@
 const (
 	// recordRefreshInterval is how often the moving record is rewritten during a long move, so that no other VM takes it over.
 	recordRefreshInterval = 2 * time.Second
-	// confirmPollInterval is how often the list of VMs is read while waiting for their confirmation.
+	// confirmPollInterval is the shortest time between two reads of the leases while VMs confirm a record, and confirmWait how long
+	// a read waits for a change. The lease of a VM that does not confirm expires without a change.
 	confirmPollInterval = 40 * time.Millisecond
+	confirmWait         = 200 * time.Millisecond
 	// statusTimeout bounds a status or demotion request to a server.
 	statusTimeout = 400 * time.Millisecond
 	// minStatusRounds is how many times all servers are asked before one is chosen although others reported no position.
@@ -137,13 +140,36 @@
 	return nil
 }
 
-// awaitConfirmation waits until every VM has seen epoch or its lease has expired, so that none uses the old primary any more.
+// awaitConfirmation waits until every VM has seen epoch or its lease has expired, so that none uses the old primary any more. It
+// lists the leases once and then follows their changes, since the list of a large fleet is long.
 func (m *primaryMove) awaitConfirmation(ctx context.Context, epoch uint64) error {
+	rows := make(map[string]port.Row)
+	listed := false
+	var version uint64
 	for ctx.Err() == nil {
 		sent := m.e.clock()
-		s, err := m.e.rows.List(ctx, memberTable)
-		if err == nil {
-			members, err := decodeMembers(s.Rows)
+		var s port.Snapshot
+		var err error
+		if listed {
+			s, err = m.e.rows.Changes(ctx, memberTable, version, confirmWait)
+		} else {
+			s, err = m.e.rows.List(ctx, memberTable)
+		}
+		switch {
+		case errors.Is(err, port.ErrHistoryGone):
+			listed = false
+		case err == nil:
+			if !listed {
+				clear(rows)
+			}
+			listed, version = true, max(version, s.Version)
+			for _, row := range s.Rows {
+				rows[row.Key] = row
+				if row.Deleted {
+					delete(rows, row.Key)
+				}
+			}
+			members, err := decodeMembers(slices.Collect(maps.Values(rows)))
 			if err != nil {
 				return err
 			}
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -14,6 +14,7 @@
 	Renew
 	List
 	Changes
+	Fleet
 	// Work on a server that another VM owns; see io/remote.
 	Run
 	Release
--- a/io/relay/hub.go
+++ b/io/relay/hub.go
@@ -17,8 +17,6 @@
 	firstListTimeout = 1500 * time.Millisecond
 	// idleFollowDuration is how long a table is still followed after the last call that used it.
 	idleFollowDuration = 10 * time.Second
-	// maxRecentAge is the maximum age of a list that ListRecent returns from its cache.
-	maxRecentAge = time.Second
 	// maxTombstones is the maximum number of deleted rows that are kept per table.
 	maxTombstones = 1000
 )
@@ -40,45 +38,15 @@
 
 	following sync.WaitGroup
 
-	mu          sync.Mutex
-	followed    map[string]*followedTable
-	recentLists map[string]*recentList
+	mu       sync.Mutex
+	followed map[string]*followedTable
 }
 
 func newHub(ctx context.Context, store port.RowReader, tables map[string]Table, clock func() time.Time) *hub {
 	return &hub{
 		ctx: ctx, store: store, tables: tables, clock: clock,
-		followed: make(map[string]*followedTable), recentLists: make(map[string]*recentList),
-	}
-}
-
-// recentList caches the last list of a table that is not followed.
-type recentList struct {
-	mu       sync.Mutex
-	listedAt time.Time
-	snapshot port.Snapshot
-}
-
-// ListRecent returns the rows of a table as of at most maxRecentAge ago, without following the table.
-func (h *hub) ListRecent(ctx context.Context, name string) (port.Snapshot, error) {
-	h.mu.Lock()
-	r, ok := h.recentLists[name]
-	if !ok {
-		r = &recentList{}
-		h.recentLists[name] = r
-	}
-	h.mu.Unlock()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if now := h.clock(); r.listedAt.IsZero() || now.Sub(r.listedAt) > maxRecentAge {
-		s, err := h.store.List(ctx, name)
-		if err != nil {
-			return port.Snapshot{}, err
-		}
-		r.listedAt, r.snapshot = now, s
-		r.snapshot.Relayed = true
+		followed: make(map[string]*followedTable),
 	}
-	return r.snapshot, nil
 }
 
 // List returns the rows of a table and follows the table.
@@ -164,8 +132,8 @@
 	name        string
 	cancel      context.CancelFunc
 	equal       func(old, new []byte) bool // may be nil
-	activeCalls int         // guarded by hub.mu
-	idleTimer   *time.Timer // guarded by hub.mu
+	activeCalls int                        // guarded by hub.mu
+	idleTimer   *time.Timer                // guarded by hub.mu
 
 	mu           sync.Mutex
 	rows         map[string]port.Row // deleted rows included; each as of its last change that is passed on
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -18,10 +18,60 @@
 	Leave      bool     `cbor:"6,keyasint,omitempty"`
 }
 
-// listCall asks for the rows of a table. If Recent is set, the agent answers without following the table.
+// listCall asks for the rows of a table.
 type listCall struct {
-	Table  string `cbor:"1,keyasint"`
-	Recent bool   `cbor:"2,keyasint,omitempty"`
+	Table string `cbor:"1,keyasint"`
+}
+
+// fleetCall asks for the live VMs as of at most MaxAge ago, unless the hash is the known one.
+type fleetCall struct {
+	Known  uint64        `cbor:"1,keyasint,omitempty"`
+	MaxAge time.Duration `cbor:"2,keyasint"`
+}
+
+// fleetReply is the answer to a fleetCall. If Known is set, the hash is the known one and VMs is empty.
+type fleetReply struct {
+	Error   string    `cbor:"1,keyasint,omitempty"`
+	Known   bool      `cbor:"2,keyasint,omitempty"`
+	VMs     []fleetVM `cbor:"3,keyasint,omitempty"`
+	Holders int       `cbor:"4,keyasint,omitempty"`
+}
+
+// fleetVM is a live VM in a fleetReply.
+type fleetVM struct {
+	Name       string   `cbor:"1,keyasint"`
+	DataCentre string   `cbor:"2,keyasint"`
+	Address    string   `cbor:"3,keyasint,omitempty"`
+	Suspect    []string `cbor:"4,keyasint,omitempty"`
+}
+
+func newFleetReply(f lead.Fleet, err error, known uint64) fleetReply {
+	if err != nil {
+		return fleetReply{Error: err.Error()}
+	}
+	if f.Hash() == known {
+		return fleetReply{Known: true}
+	}
+	r := fleetReply{Holders: f.Holders()}
+	for _, m := range f.Live() {
+		r.VMs = append(r.VMs, fleetVM{Name: m.Name(), DataCentre: m.DataCentre(), Address: m.Address(), Suspect: m.Suspected()})
+	}
+	return r
+}
+
+// fleet returns the fleet in the reply, or known if it is the same.
+func (r fleetReply) fleet(known lead.Fleet) (lead.Fleet, error) {
+	if r.Error != "" {
+		return lead.Fleet{}, result.New(result.StoreUnavailable, "the agent could not read the list of VMs: %s", r.Error)
+	}
+	if r.Known {
+		return known, nil
+	}
+	live := make([]lead.Member, 0, len(r.VMs))
+	for _, v := range r.VMs {
+		live = append(live, lead.NewMember(v.Name, 0, 0, v.Suspect).WithLocation(v.DataCentre, v.Address))
+	}
+	return lead.NewFleet(live, r.Holders), nil
 }
 
 // changesCall asks for the changes of a table after a version, and waits up to Wait for them.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -32,7 +31,7 @@
 	failedAgentPause = 3 * time.Second
 	// agentsWaitTimeout is how long List waits after the start for SetAgents to name the agents. VMs that start together would
 	// otherwise each follow the tables in the store themselves while all servers register.
-	agentsWaitTimeout = 400 * time.Millisecond
+	agentsWaitTimeout = 1200 * time.Millisecond
 )
 
 // Granter renews leases in the store for this VM and for others.
@@ -40,6 +39,8 @@
 	// Grant renews the lease of a VM, or gives it up if leave is set. It returns port.ErrConflict if the VM has not seen the
 	// newest epoch.
 	Grant(ctx context.Context, m lead.Member, leave bool) error
+	// ReadFleet returns the live VMs as of at most maxAge ago.
+	ReadFleet(ctx context.Context, maxAge time.Duration) (lead.Fleet, error)
 }
 
 // Relay makes the shared calls of one VM, and serves the calls of other VMs if this VM is an agent. It is safe for concurrent
@@ -58,6 +59,7 @@
 	granter       Granter
 	endAgentsWait context.CancelFunc // ends agentsWait
 	agentsWait    context.Context
+	fleet         lead.Fleet // the last one received from an agent
 }
 
 // New returns the relay of the VM self. Until SetAgents names other VMs, it calls the store itself. Tables says how the VM follows
@@ -89,11 +91,15 @@
 		if err := c.Decode(&q); err != nil {
 			return nil, err
 		}
-		list := r.hub.List
-		if q.Recent {
-			list = r.hub.ListRecent
+		return newReply(r.hub.List(ctx, q.Table)), nil
+	})
+	s.Handle(link.Fleet, func(ctx context.Context, _ *link.Inbound, c link.Call) (any, error) {
+		var q fleetCall
+		if err := c.Decode(&q); err != nil {
+			return nil, err
 		}
-		return newReply(list(ctx, q.Table)), nil
+		f, err := r.granterOf().ReadFleet(ctx, q.MaxAge)
+		return newFleetReply(f, err, q.Known), nil
 	})
 	s.Handle(link.Changes, func(ctx context.Context, _ *link.Inbound, c link.Call) (any, error) {
 		var q changesCall
@@ -123,7 +129,7 @@
 		r.log.Event(event.AgentChanged, zap.String("agent", agents[0].Name()), zap.String("address", agents[0].Address()))
 	}
 	r.agents = agents
-	if slices.ContainsFunc(agents, func(m lead.Member) bool { return m.Name() != r.self }) {
+	if len(agents) > 0 {
 		r.endAgentsWait()
 	}
 }
@@ -136,34 +142,51 @@
 
 // Renew renews the lease of this VM through an agent, or gives it up if leave is set.
 func (r *Relay) Renew(ctx context.Context, m lead.Member, leave bool) error {
-	_, err := r.callFirstAvailable(ctx, func() (port.Snapshot, error) {
+	_, err := callFirstAvailable(ctx, r, func() (port.Snapshot, error) {
 		return port.Snapshot{}, r.granterOf().Grant(ctx, m, leave)
-	}, agentCall{method: link.Renew, args: newRenewCall(m, leave), timeout: renewTimeout})
+	}, r.snapshotCall(ctx, agentCall{method: link.Renew, args: newRenewCall(m, leave), timeout: renewTimeout}))
 	return err
 }
 
 // List implements port.RowReader. The rows may be older than the call if an agent follows the table.
 func (r *Relay) List(ctx context.Context, table string) (port.Snapshot, error) {
 	<-r.agentsWait.Done()
-	return r.callFirstAvailable(ctx, func() (port.Snapshot, error) {
+	return callFirstAvailable(ctx, r, func() (port.Snapshot, error) {
 		return r.tableReader().List(ctx, table)
-	}, agentCall{method: link.List, args: listCall{Table: table}, table: table, timeout: listTimeout})
+	}, r.snapshotCall(ctx, agentCall{method: link.List, args: listCall{Table: table}, table: table, timeout: listTimeout}))
 }
 
-// ListRecent returns the rows of a table without following it. They may be up to maxRecentAge old.
-func (r *Relay) ListRecent(ctx context.Context, table string) (port.Snapshot, error) {
-	return r.callFirstAvailable(ctx, func() (port.Snapshot, error) {
-		return r.hub.ListRecent(ctx, table)
-	}, agentCall{method: link.List, args: listCall{Table: table, Recent: true}, table: table, timeout: listTimeout})
+// ReadFleet returns the live VMs as of at most maxAge ago. Mostly the agent only confirms that nothing has changed.
+func (r *Relay) ReadFleet(ctx context.Context, maxAge time.Duration) (lead.Fleet, error) {
+	return callFirstAvailable(ctx, r, func() (lead.Fleet, error) {
+		return r.granterOf().ReadFleet(ctx, maxAge)
+	}, func(a lead.Member) (lead.Fleet, error) {
+		r.mu.Lock()
+		known := r.fleet
+		r.mu.Unlock()
+		var answer fleetReply
+		_, err := r.clients.Call(ctx, a.Address(), link.Fleet, fleetCall{Known: known.Hash(), MaxAge: maxAge}, &answer,
+			link.Options{Timeout: listTimeout, Ping: link.SlowPing})
+		if err != nil {
+			return lead.Fleet{}, err
+		}
+		f, err := answer.fleet(known)
+		if err == nil {
+			r.mu.Lock()
+			r.fleet = f
+			r.mu.Unlock()
+		}
+		return f, err
+	})
 }
 
 // Changes implements port.RowReader.
 func (r *Relay) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (port.Snapshot, error) {
-	return r.callFirstAvailable(ctx, func() (port.Snapshot, error) {
+	return callFirstAvailable(ctx, r, func() (port.Snapshot, error) {
 		return r.tableReader().Changes(ctx, table, after, wait)
-	}, agentCall{
+	}, r.snapshotCall(ctx, agentCall{
 		method: link.Changes, args: changesCall{Table: table, After: after, Wait: wait}, table: table, timeout: wait + changesGrace,
-	})
+	}))
 }
 
 // Ping asks the VM at address for a reply and returns an error if none arrives within timeout.
@@ -191,25 +214,27 @@
 	return r.store
 }
 
-// callFirstAvailable sends the call q to the agents in order until one of them can carry it out. It calls local to carry the call
-// out on this VM: when the VM is itself the next agent, or when no agent could and local has not been tried.
-func (r *Relay) callFirstAvailable(ctx context.Context, local func() (port.Snapshot, error), q agentCall) (port.Snapshot, error) {
+// callFirstAvailable makes a call at the agents in order until one of them can carry it out. It calls local to carry the call out
+// on this VM: when the VM is itself the next agent, or when no agent could and local has not been tried.
+func callFirstAvailable[T any](ctx context.Context, r *Relay, local func() (T, error), remote func(a lead.Member) (T, error),
+) (T, error) {
 	triedLocal := false
+	var none T
 	var err error
 	for _, a := range r.availableAgents() {
-		var s port.Snapshot
+		var v T
 		if a.Name() == r.self {
 			triedLocal = true
-			s, err = local()
-		} else {
-			s, err = r.callAgent(ctx, a, q)
+			v, err = local()
+		} else if v, err = remote(a); !isStoreOutcome(err) && ctx.Err() == nil {
+			r.markFailed(a.Name(), err)
 		}
 		if isStoreOutcome(err) || ctx.Err() != nil {
-			return s, err
+			return v, err
 		}
 	}
 	if triedLocal {
-		return port.Snapshot{}, err
+		return none, err
 	}
 	return local()
 }
@@ -233,20 +258,16 @@
 	return all
 }
 
-// callAgent sends the call q to the agent a. A failure of the agent, but not an answer of the store, marks the agent as failed.
-func (r *Relay) callAgent(ctx context.Context, a lead.Member, q agentCall) (port.Snapshot, error) {
-	var answer reply
-	_, err := r.clients.Call(ctx, a.Address(), q.method, q.args, &answer, link.Options{Timeout: q.timeout, Ping: link.SlowPing})
-	if err == nil {
-		var s port.Snapshot
-		if s, err = answer.snapshot(q.table); isStoreOutcome(err) {
-			return s, err
+// snapshotCall returns the function that makes the call q at an agent.
+func (r *Relay) snapshotCall(ctx context.Context, q agentCall) func(a lead.Member) (port.Snapshot, error) {
+	return func(a lead.Member) (port.Snapshot, error) {
+		var answer reply
+		_, err := r.clients.Call(ctx, a.Address(), q.method, q.args, &answer, link.Options{Timeout: q.timeout, Ping: link.SlowPing})
+		if err != nil {
+			return port.Snapshot{}, err
 		}
+		return answer.snapshot(q.table)
 	}
-	if ctx.Err() == nil {
-		r.markFailed(a.Name(), err)
-	}
-	return port.Snapshot{}, err
 }
 
 // markFailed records that an agent could not carry out a call, and logs the failure unless the agent is already marked.
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -122,9 +122,11 @@
 
 // fakeGranter records the calls of Grant.
 type fakeGranter struct {
-	mu       sync.Mutex
-	renewals []string
-	err      error
+	mu         sync.Mutex
+	renewals   []string
+	err        error
+	fleet      lead.Fleet
+	fleetReads int
 }
 
 func (g *fakeGranter) Grant(_ context.Context, m lead.Member, leave bool) error {
@@ -134,6 +136,13 @@
 	return g.err
 }
 
+func (g *fakeGranter) ReadFleet(context.Context, time.Duration) (lead.Fleet, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleetReads++
+	return g.fleet, g.err
+}
+
 func (g *fakeGranter) recordedRenewals() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -301,14 +310,42 @@
 	}, testTimeout).Should(gomega.Equal(1))
 }
 
-func BenchmarkListRecent(b *testing.B) {
+// Guards against a VM that reads the list of VMs from the store although an agent does so for all, and against one that keeps an
+// older list after a change.
+func TestFleetComesFromTheAgent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	agent, v := newVM(t, "agent", newFakeStore()), newVM(t, "vm", newFakeStore())
+	v.SetAgents([]lead.Member{agent.member()})
+	for _, names := range [][]string{{"a"}, {"a"}, {"a", "b"}, nil} {
+		var live []lead.Member
+		for _, n := range names {
+			live = append(live, lead.NewMember(n, 0, 0, []string{"s"}).WithLocation("dc", "address"))
+		}
+		agent.granter.fleet = lead.NewFleet(live, len(live)+1)
+		f, err := v.ReadFleet(t.Context(), time.Second)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(f.Hash()).To(gomega.Equal(agent.granter.fleet.Hash()))
+		g.Expect(f.Live()).To(gomega.HaveLen(len(names)))
+		g.Expect(f.Holders()).To(gomega.Equal(len(names) + 1))
+	}
+	g.Expect(v.granter.fleetReads).To(gomega.BeZero())
+	agent.granter.err = errDown
+	v.granter.fleet = lead.NewFleet(nil, 7)
+	f, err := v.ReadFleet(t.Context(), time.Second)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(f.Holders()).To(gomega.Equal(7), "the agent cannot reach the store")
+}
+
+func BenchmarkReadFleet(b *testing.B) {
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
-	f := newFakeStore()
-	for i := range 90 {
-		f.put(fmt.Sprint("vm", i), "entry", false)
+	var live []lead.Member
+	for i := range 300 {
+		live = append(live, lead.NewMember(fmt.Sprint("vm-", i), 0, 0, nil).WithLocation("dc", "10.0.0.1:7000"))
 	}
-	agent := New(ctx, "agent", f, testTables, link.NewClients(ctx, time.Now), time.Now, discardLogger{})
+	clients := link.NewClients(ctx, time.Now)
+	agent := New(ctx, "agent", newFakeStore(), testTables, clients, time.Now, discardLogger{})
+	agent.SetGranter(&fakeGranter{fleet: lead.NewFleet(live, len(live))})
 	peers := link.NewServer(ctx, time.Now, discardLogger{})
 	agent.Register(peers)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -316,11 +353,11 @@
 		b.Fatal(err)
 	}
 	peers.Serve(l)
-	v := New(ctx, "vm", newFakeStore(), testTables, link.NewClients(ctx, time.Now), time.Now, discardLogger{})
+	v := New(ctx, "vm", newFakeStore(), testTables, clients, time.Now, discardLogger{})
 	v.SetAgents([]lead.Member{lead.NewMember("agent", 0, 0, nil).WithLocation("dc", l.Addr().String())})
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := v.ListRecent(ctx, "t"); err != nil {
+		if _, err := v.ReadFleet(ctx, time.Second); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/io/watch/directory.go
+++ b/io/watch/directory.go
@@ -17,7 +17,7 @@
 
 // reregisterGrace is how long servers may take to register again after an outage of the store. A server that is still missing
 // after that is removed.
-const reregisterGrace = 2700 * time.Millisecond
+const reregisterGrace = 2900 * time.Millisecond
 
 // directoryBatchDelay is how long changes of the configuration and of the servers are batched. A change may take seconds until
 // it is in force.
