core/lead: let large VMs own more servers and act as agents

Change: VMs publish their processor cores (setting `cores`); owners are chosen in weighted rendezvous order, agents among the largest VMs. Ruled out: an order by size alone, which would move every server when a VM is added.

--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -102,3 +102,27 @@
 		t.Fatalf("the mean hold time is still %s after 60 holds of 20ms", w)
 	}
 }
+
+// Guards against statements that wait for a slot although their answer would come too late, and against refusals while a slot is
+// free.
+func TestAdmitsToSlot(t *testing.T) {
+	var g Gate
+	for range 100 {
+		g.RecordServiceTime(40 * time.Millisecond)
+	}
+	for _, c := range []struct {
+		ahead   int
+		timeout time.Duration
+		want    bool
+	}{
+		{-1, 0, true}, // a slot is free
+		{0, 60 * time.Millisecond, true},
+		{0, 49 * time.Millisecond, false},
+		{9, 140 * time.Millisecond, true},
+		{9, 139 * time.Millisecond, false},
+	} {
+		if got := g.AdmitsToSlot(c.ahead, 4, c.timeout); got != c.want {
+			t.Errorf("%d ahead, %s: admitted %v", c.ahead, c.timeout, got)
+		}
+	}
+}
--- a/core/layout/layout_test.go
+++ b/core/layout/layout_test.go
@@ -38,3 +38,21 @@
 		}
 	}
 }
+
+func ExampleNeedsOwner() {
+	fmt.Println(NeedsOwner(5, 9), NeedsOwner(5, 295), OwnerShare(125))
+	// Output: false true 57
+}
+
+// Guards against two VMs that both take themselves for the owner and together exceed the server's limit, and against VMs that
+// watch the server and find no connection left.
+func TestOwnerShares(t *testing.T) {
+	for limit := minShare*concurrentOwners + otherConnections; limit < 500; limit++ {
+		if n := concurrentOwners*OwnerShare(limit) + otherConnections; n > limit {
+			t.Fatalf("two owners and the watchers hold %d connections to a server that accepts %d", n, limit)
+		}
+	}
+	if OwnerShare(0) < 1 {
+		t.Fatal("an owner may open no connection")
+	}
+}
--- a/core/lead/agent.go
+++ b/core/lead/agent.go
@@ -20,26 +20,68 @@
 	return m
 }
 
+// WithCores returns a copy of the member with the processor cores of its VM.
+func (m Member) WithCores(n float64) Member {
+	m.cores = n
+	return m
+}
+
+// Cores returns the processor cores of the VM, 0 if unknown.
+func (m Member) Cores() float64 { return m.cores }
+
+// defaultCores is assumed for a VM of unknown size.
+const defaultCores = 1
+
+// weighted returns the member with its weight for work that is shared out by size.
+func (m Member) weighted() owner.Weighted {
+	w := owner.Weighted{Name: m.name, Weight: m.cores}
+	if w.Weight <= 0 {
+		w.Weight = defaultCores
+	}
+	return w
+}
+
+// topBySize returns the first n members for key, larger VMs for more keys.
+func topBySize(key string, members map[string]Member, n int) []Member {
+	all := make([]owner.Weighted, 0, len(members))
+	for _, m := range members {
+		all = append(all, m.weighted())
+	}
+	var top []Member
+	for _, name := range owner.TopWeighted(key, all, n) {
+		top = append(top, members[name])
+	}
+	return top
+}
+
 // DataCentre returns the VM's data centre.
 func (m Member) DataCentre() string { return m.dataCentre }
 
 // Address returns the address at which other VMs reach the VM; "" if they cannot.
 func (m Member) Address() string { return m.address }
 
-// Agents returns the VMs that call the store on behalf of a data centre, in the order in which they are tried. VMs with the
-// same list compute the same order, and the order changes little when VMs join or leave.
+// Agents returns the VMs that call the store on behalf of a data centre, in the order in which they are tried. They are among the
+// largest VMs, since an agent passes all tables on to the others. VMs with the same list compute the same order, and the order
+// changes little when VMs join or leave.
 func Agents(live []Member, dataCentre string) []Member {
-	byName := make(map[string]Member)
+	largest := 0.0
 	for _, m := range live {
 		if m.dataCentre == dataCentre && m.address != "" {
-			byName[m.name] = m
+			largest = max(largest, m.weighted().Weight)
 		}
 	}
-	agents := make([]Member, 0, maxAgents)
-	for _, name := range owner.Top(dataCentre, slices.Sorted(maps.Keys(byName)), maxAgents) {
-		agents = append(agents, byName[name])
+	large, others := make(map[string]Member), make(map[string]Member)
+	for _, m := range live {
+		switch {
+		case m.dataCentre != dataCentre || m.address == "":
+		case m.weighted().Weight >= largest:
+			large[m.name] = m
+		default:
+			others[m.name] = m
+		}
 	}
-	return agents
+	agents := topBySize(dataCentre, large, maxAgents)
+	return append(agents, topBySize(dataCentre, others, maxAgents-len(agents))...)
 }
 
 // Merge returns one member for each VM from the rows of several agents. A VM that has seen an epoch uses no record from before
--- a/core/lead/fleet.go
+++ b/core/lead/fleet.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +40,7 @@
 		write(m.name)
 		write(m.dataCentre)
 		write(m.address)
+		write(strconv.FormatFloat(m.cores, 'g', -1, 64))
 		for _, s := range m.suspected {
 			write(s)
 		}
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -86,6 +86,7 @@
 
 	dataCentre string
 	address    string
+	cores      float64
 }
 
 // NewMember returns the entry of a VM that has seen epoch and whose lease ends at until on the store's clock. Suspected lists
--- a/core/lead/owners.go
+++ b/core/lead/owners.go
@@ -1,18 +1,12 @@
 package lead
 
-import (
-	"maps"
-	"slices"
-
-	"verbenagate/core/owner"
-)
-
 // maxOwners is how many VMs may hold the shared connections to a server: the owner, and the next VM in order, which takes over
 // while the owner does not answer.
 const maxOwners = 2
 
 // Owners returns the VMs that hold the shared connections to a server, the owner first. They are in the server's data centre, so
-// that forwarded statements cross a link between data centres only once, or anywhere if no VM lives there. VMs with the same list
+// that forwarded statements cross a link between data centres only once, or anywhere if no VM lives there. Large VMs own more servers
+// than small ones. VMs with the same list
 // compute the same order, and a VM that joins or leaves changes the owner only of the servers that it owns.
 func Owners(live []Member, server, dataCentre string) []Member {
 	local, all := make(map[string]Member), make(map[string]Member)
@@ -28,9 +22,5 @@
 	if len(local) == 0 {
 		local = all
 	}
-	owners := make([]Member, 0, maxOwners)
-	for _, name := range owner.Top(server, slices.Sorted(maps.Keys(local)), maxOwners) {
-		owners = append(owners, local[name])
-	}
-	return owners
+	return topBySize(server, local, maxOwners)
 }
--- a/core/lead/owners_test.go
+++ b/core/lead/owners_test.go
@@ -65,3 +65,31 @@
 		t.Fatalf("owners %v", got)
 	}
 }
+
+// Guards against small VMs that own as many servers as large ones, and against an agent that is a small VM: it passes all tables on
+// to the VMs of its data centre, at the latest when all of them start at once.
+func TestLargeVMsDoMore(t *testing.T) {
+	var live []Member
+	for i, m := range vmsIn("dc", "dc", "dc", "dc", "dc", "dc", "dc", "dc", "dc", "dc") {
+		cores := 0.2
+		if i < 2 {
+			cores = 0.8
+		}
+		live = append(live, m.WithCores(cores))
+	}
+	large := 0
+	const servers = 4000
+	for i := range servers {
+		if Owners(live, fmt.Sprint("server-", i), "dc")[0].Cores() == 0.8 {
+			large++
+		}
+	}
+	// 2 VMs of 0.8 cores have half of the 3.2 cores.
+	if large < servers*45/100 || large > servers*55/100 {
+		t.Errorf("the large VMs own %d of %d servers", large, servers)
+	}
+	agents := Agents(live, "dc")
+	if len(agents) != 3 || agents[0].Cores() != 0.8 || agents[1].Cores() != 0.8 {
+		t.Errorf("agents %v", agents)
+	}
+}
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -84,6 +85,36 @@
 	return order[:min(n, len(order))]
 }
 
+// Weighted is a member that gets keys in proportion to its weight, which must be positive.
+type Weighted struct {
+	Name   string
+	Weight float64
+}
+
+// TopWeighted returns the names of the first n members in the weighted rendezvous order for key, or of all if there are fewer. A
+// member comes first for a share of the keys in proportion to its weight.
+func TopWeighted(key string, members []Weighted, n int) []string {
+	type ranked struct {
+		name  string
+		score float64
+	}
+	h := xxhash.Sum64String(key)
+	all := make([]ranked, len(members))
+	for i, m := range members {
+		// The score is uniform; its 53 upper bits give a number between 0 and 1, without the ends.
+		u := (float64(score(h, xxhash.Sum64String(m.Name))>>11) + 0.5) / (1 << 53)
+		all[i] = ranked{m.Name, -m.Weight / math.Log(u)}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+	})
+	var names []string
+	for _, r := range all[:min(n, len(all))] {
+		names = append(names, r.name)
+	}
+	return names
+}
+
 // Of returns the VM that owns the server at address: the first live VM of the server's data centre in rendezvous order,
 // or of all data centres if the server's data centre has no live VM. It returns false if no VM is live.
 func Of(address, dataCentre string, live Live) (string, bool) {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -126,7 +126,7 @@
 			el.ReapplyPrimaries()
 		}
 	})
-	self := lead.NewMember(s.VM(), 0, 0, nil).WithLocation(s.DataCentre(), s.Peers())
+	self := lead.NewMember(s.VM(), 0, 0, nil).WithLocation(s.DataCentre(), s.Peers()).WithCores(s.Cores())
 	e.elector = elect.New(self, a.Rows, agents, a.Orders, e.pools, e.directory.View, Clock, log)
 	elector.Store(e.elector)
 	agents.SetGranter(e.elector)
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -15,16 +15,17 @@
 
 // fileSettings is the content of the settings file.
 type fileSettings struct {
-	VM         string `yaml:"vm"`
-	DataCentre string `yaml:"data_centre"`
-	Callers    string `yaml:"callers"`
-	Ready      string `yaml:"ready"`
-	Metrics    string `yaml:"metrics"`
-	Peers      string `yaml:"peers"`
-	Store      string `yaml:"store"`
-	Orders     string `yaml:"orders"`
-	GraceS     int    `yaml:"grace_s"`
-	VMs        int    `yaml:"vms"`
+	VM         string  `yaml:"vm"`
+	DataCentre string  `yaml:"data_centre"`
+	Callers    string  `yaml:"callers"`
+	Ready      string  `yaml:"ready"`
+	Metrics    string  `yaml:"metrics"`
+	Peers      string  `yaml:"peers"`
+	Store      string  `yaml:"store"`
+	Orders     string  `yaml:"orders"`
+	GraceS     int     `yaml:"grace_s"`
+	VMs        int     `yaml:"vms"`
+	Cores      float64 `yaml:"cores"`
 	Log        struct {
 		Level          string `yaml:"level"`
 		LinesPerSecond int    `yaml:"lines_per_second"`
@@ -73,6 +74,9 @@
 	if k.VMs < 1 && !doc.HasProblem("vms") {
 		doc.Add("vms", "must be at least 1")
 	}
+	if k.Cores < 0 && !doc.HasProblem("cores") {
+		doc.Add("cores", "must not be negative")
+	}
 	if k.Log.LinesPerSecond < 1 && !doc.HasProblem("log.lines_per_second") {
 		doc.Add("log.lines_per_second", "must be at least 1")
 	}
@@ -125,6 +129,9 @@
 // VMs returns the number of VMs that are assumed to share the servers' connections until the list of VMs has been read.
 func (s Settings) VMs() int { return s.k.VMs }
 
+// Cores returns the processor cores of this VM, 0 if unknown. Larger VMs do more work for the others.
+func (s Settings) Cores() float64 { return s.k.Cores }
+
 // LogLevel returns the log level.
 func (s Settings) LogLevel() string { return s.k.Log.Level }
 
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -467,7 +467,7 @@
 	}
 	e.mu.Unlock()
 	slices.Sort(suspected)
-	m := lead.NewMember(e.name, epoch, 0, suspected).WithLocation(e.self.DataCentre(), e.self.Address())
+	m := lead.NewMember(e.name, epoch, 0, suspected).WithLocation(e.self.DataCentre(), e.self.Address()).WithCores(e.self.Cores())
 	if err := e.agents.Renew(ctx, m, false); err != nil {
 		return err
 	}
@@ -591,7 +591,7 @@
 func (e *Elector) Stop(ctx context.Context) {
 	e.mu.Lock()
 	e.stopping = true
-	m := lead.NewMember(e.name, e.epoch, 0, nil).WithLocation(e.self.DataCentre(), e.self.Address())
+	m := lead.NewMember(e.name, e.epoch, 0, nil).WithLocation(e.self.DataCentre(), e.self.Address()).WithCores(e.self.Cores())
 	e.lease = lead.Lease{}
 	e.mu.Unlock()
 	if err := e.agents.Renew(ctx, m, true); err != nil {
--- a/io/elect/records.go
+++ b/io/elect/records.go
@@ -39,6 +39,7 @@
 	Suspect    []string `json:"suspect,omitempty"`
 	DataCentre string   `json:"data_centre,omitempty"`
 	Address    string   `json:"address,omitempty"`
+	Cores      float64  `json:"cores,omitempty"`
 }
 
 func encodeRecord(group string, r lead.Record) (port.Row, error) {
@@ -71,7 +72,7 @@
 	for _, m := range members {
 		r.VMs = append(r.VMs, memberEntry{
 			Name: m.Name(), Epoch: m.Epoch(), UntilMs: m.Until().Milliseconds() + 1, Suspect: m.Suspected(),
-			DataCentre: m.DataCentre(), Address: m.Address(),
+			DataCentre: m.DataCentre(), Address: m.Address(), Cores: m.Cores(),
 		})
 	}
 	value, err := json.Marshal(r)
@@ -86,7 +87,7 @@
 	members := make([]lead.Member, 0, len(r.VMs))
 	for _, m := range r.VMs {
 		until := time.Duration(m.UntilMs) * time.Millisecond
-		members = append(members, lead.NewMember(m.Name, m.Epoch, until, m.Suspect).WithLocation(m.DataCentre, m.Address))
+		members = append(members, lead.NewMember(m.Name, m.Epoch, until, m.Suspect).WithLocation(m.DataCentre, m.Address).WithCores(m.Cores))
 	}
 	return members, nil
 }
--- a/io/relay/hub.go
+++ b/io/relay/hub.go
@@ -26,7 +26,7 @@
 	// BatchDelay is how long changes are collected before the next call of the store. 0 is for changes that VMs wait for.
 	BatchDelay time.Duration
 	// Equal reports whether two values of a row mean the same to the VMs. If it is set, changes between such values are not passed on.
-	Equal func(old, new []byte) bool
+	Equal func(before, after []byte) bool
 }
 
 // hub follows each table of the store once, on behalf of all VMs that read it.
@@ -131,9 +131,9 @@
 type followedTable struct {
 	name        string
 	cancel      context.CancelFunc
-	equal       func(old, new []byte) bool // may be nil
-	activeCalls int                        // guarded by hub.mu
-	idleTimer   *time.Timer                // guarded by hub.mu
+	equal       func(before, after []byte) bool // may be nil
+	activeCalls int                             // guarded by hub.mu
+	idleTimer   *time.Timer                     // guarded by hub.mu
 
 	mu           sync.Mutex
 	rows         map[string]port.Row // deleted rows included; each as of its last change that is passed on
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -16,6 +16,7 @@
 	DataCentre string   `cbor:"4,keyasint"`
 	Address    string   `cbor:"5,keyasint"`
 	Leave      bool     `cbor:"6,keyasint,omitempty"`
+	Cores      float64  `cbor:"7,keyasint,omitempty"`
 }
 
 // listCall asks for the rows of a table.
@@ -43,6 +44,7 @@
 	DataCentre string   `cbor:"2,keyasint"`
 	Address    string   `cbor:"3,keyasint,omitempty"`
 	Suspect    []string `cbor:"4,keyasint,omitempty"`
+	Cores      float64  `cbor:"5,keyasint,omitempty"`
 }
 
 func newFleetReply(f lead.Fleet, err error, known uint64) fleetReply {
@@ -54,7 +56,7 @@
 	}
 	r := fleetReply{Holders: f.Holders()}
 	for _, m := range f.Live() {
-		r.VMs = append(r.VMs, fleetVM{Name: m.Name(), DataCentre: m.DataCentre(), Address: m.Address(), Suspect: m.Suspected()})
+		r.VMs = append(r.VMs, fleetVM{Name: m.Name(), DataCentre: m.DataCentre(), Address: m.Address(), Suspect: m.Suspected(), Cores: m.Cores()})
 	}
 	return r
 }
@@ -69,7 +71,7 @@
 	}
 	live := make([]lead.Member, 0, len(r.VMs))
 	for _, v := range r.VMs {
-		live = append(live, lead.NewMember(v.Name, 0, 0, v.Suspect).WithLocation(v.DataCentre, v.Address))
+		live = append(live, lead.NewMember(v.Name, 0, 0, v.Suspect).WithLocation(v.DataCentre, v.Address).WithCores(v.Cores))
 	}
 	return lead.NewFleet(live, r.Holders), nil
 }
@@ -110,12 +112,12 @@
 
 func newRenewCall(m lead.Member, leave bool) *renewCall {
 	return &renewCall{
-		Name: m.Name(), Epoch: m.Epoch(), Suspect: m.Suspected(), DataCentre: m.DataCentre(), Address: m.Address(), Leave: leave,
+		Name: m.Name(), Epoch: m.Epoch(), Suspect: m.Suspected(), DataCentre: m.DataCentre(), Address: m.Address(), Leave: leave, Cores: m.Cores(),
 	}
 }
 
 func (c renewCall) member() lead.Member {
-	return lead.NewMember(c.Name, c.Epoch, 0, c.Suspect).WithLocation(c.DataCentre, c.Address)
+	return lead.NewMember(c.Name, c.Epoch, 0, c.Suspect).WithLocation(c.DataCentre, c.Address).WithCores(c.Cores)
 }
 
 func newReply(s port.Snapshot, err error) reply {
