io/strict: decode numbers with a fraction

Change: float64 fields take whole numbers and fractions. Ruled out: a text setting that the program parses itself.

--- a/io/strict/strict.go
+++ b/io/strict/strict.go
@@ -320,6 +320,18 @@
 			}
 		}
 		d.addProblem(position(n), path, "must be a whole number")
+	case reflect.Float64:
+		switch n := n.(type) {
+		case *ast.FloatNode:
+			v.SetFloat(n.Value)
+			return
+		case *ast.IntegerNode:
+			if x, err := strconv.ParseFloat(fmt.Sprint(n.Value), 64); err == nil {
+				v.SetFloat(x)
+				return
+			}
+		}
+		d.addProblem(position(n), path, "must be a number")
 	default:
 		d.addProblem(position(n), path, "decoding into the Go type %s is not supported", v.Type())
 	}
--- a/io/strict/strict_test.go
+++ b/io/strict/strict_test.go
@@ -77,3 +77,21 @@
 			c.text[:min(len(c.text), 40)])
 	}
 }
+
+// Guards against a setting with a fraction that is refused, and against text that is taken for a number.
+func TestDecodeFloat(t *testing.T) {
+	g := NewWithT(t)
+	for text, want := range map[string]float64{"0.192": 0.192, "2": 2, "": 0.5, "-1.5": -1.5} {
+		f := struct {
+			Cores float64 `yaml:"cores"`
+		}{Cores: 0.5}
+		g.Expect(strict.Decode("f", []byte("cores: "+text+"\n"), &f).Problems()).To(BeEmpty(), text)
+		g.Expect(f.Cores).To(Equal(want), text)
+	}
+	var f struct {
+		Cores float64 `yaml:"cores"`
+	}
+	problems := strict.Decode("f", []byte("cores: many\n"), &f).Problems()
+	g.Expect(problems).To(HaveLen(1))
+	g.Expect(fmt.Sprint(problems[0])).To(Equal("f:1:8: cores: must be a number"))
+}
