io/relay: let calls for changes leave an agent that has failed

Change: when an agent is marked as failed, the calls that wait for it end and turn to the next one. TestFailedAgentIsLeftByWaitingCalls fails before. Ruled out: closing the connection again, as it now carries statements of callers, too.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -60,8 +60,12 @@
 	endAgentsWait context.CancelFunc // ends agentsWait
 	agentsWait    context.Context
 	fleet         lead.Fleet // the last one received from an agent
+	calls         map[string]map[*pendingCall]bool
 }
 
+// pendingCall is a call that waits for the reply of an agent.
+type pendingCall struct{ cancel context.CancelFunc }
+
 // New returns the relay of the VM self. Until SetAgents names other VMs, it calls the store itself. Tables says how the VM follows
 // tables on behalf of others. It follows none any more when ctx ends.
 func New(ctx context.Context, self string, store port.RowReader, tables map[string]Table, clients *link.Clients,
@@ -69,7 +73,7 @@
 ) *Relay {
 	r := &Relay{
 		self: self, store: store, hub: newHub(ctx, store, tables, clock), clients: clients, clock: clock, log: log,
-		failedUntil: make(map[string]time.Time),
+		failedUntil: make(map[string]time.Time), calls: make(map[string]map[*pendingCall]bool),
 	}
 	r.agentsWait, r.endAgentsWait = context.WithTimeout(ctx, agentsWaitTimeout)
 	return r
@@ -164,6 +168,8 @@
 		r.mu.Lock()
 		known := r.fleet
 		r.mu.Unlock()
+		ctx, end := r.startCall(ctx, a.Name())
+		defer end()
 		var answer fleetReply
 		_, err := r.clients.Call(ctx, a.Address(), link.Fleet, fleetCall{Known: known.Hash(), MaxAge: maxAge}, &answer,
 			link.Options{Timeout: listTimeout, Ping: link.SlowPing})
@@ -261,6 +267,8 @@
 // snapshotCall returns the function that makes the call q at an agent.
 func (r *Relay) snapshotCall(ctx context.Context, q agentCall) func(a lead.Member) (port.Snapshot, error) {
 	return func(a lead.Member) (port.Snapshot, error) {
+		ctx, end := r.startCall(ctx, a.Name())
+		defer end()
 		var answer reply
 		_, err := r.clients.Call(ctx, a.Address(), q.method, q.args, &answer, link.Options{Timeout: q.timeout, Ping: link.SlowPing})
 		if err != nil {
@@ -270,10 +278,33 @@
 	}
 }
 
-// markFailed records that an agent could not carry out a call, and logs the failure unless the agent is already marked.
+// startCall registers a call that waits for the reply of an agent. The returned function must be called at its end.
+func (r *Relay) startCall(ctx context.Context, agent string) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &pendingCall{cancel: cancel}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.calls[agent] == nil {
+		r.calls[agent] = make(map[*pendingCall]bool)
+	}
+	r.calls[agent][c] = true
+	return ctx, func() {
+		cancel()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.calls[agent], c)
+	}
+}
+
+// markFailed records that an agent could not carry out a call, and logs the failure unless the agent is already marked. The other
+// calls that wait for the agent end, so that they turn to the next one: an agent that the store does not answer would let calls
+// for changes wait for their whole time limit.
 func (r *Relay) markFailed(agent string, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for c := range r.calls[agent] {
+		c.cancel()
+	}
 	now := r.clock()
 	if until, failed := r.failedUntil[agent]; !failed || now.After(until) {
 		r.log.Event(event.AgentFailed, zap.String("agent", agent), zap.Error(err))
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -457,3 +457,39 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(s.Rows).To(gomega.HaveLen(1), "the row was removed in between")
 }
+
+// Guards against a VM that misses a new configuration for many seconds: the store leaves the calls of its agent without an answer,
+// so that renewals through the agent fail, but a call for changes waits there for its whole time limit.
+func TestFailedAgentIsLeftByWaitingCalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	silent, shared := newFakeStore(), newFakeStore()
+	for _, f := range []*fakeStore{silent, shared} {
+		f.put("a", "1", false)
+	}
+	first, second, v := newVM(t, "first", silent), newVM(t, "second", shared), newVM(t, "vm", newFakeStore())
+	agents := []lead.Member{first.member(), second.member()}
+	first.SetAgents(agents)
+	v.SetAgents(agents)
+	second.SetAgents(agents[1:])
+	_, err := second.List(t.Context(), "t")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s, err := v.List(t.Context(), "t")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	got := make(chan port.Snapshot, 1)
+	go func() {
+		s, _ := v.Changes(t.Context(), "t", s.Version, time.Hour)
+		got <- s
+	}()
+	g.Eventually(func() int {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return len(v.calls["first"])
+	}, testTimeout).Should(gomega.Equal(1))
+	shared.put("b", "2", false)
+	first.granter.err = errDown
+	g.Expect(v.Renew(t.Context(), v.member(), false)).To(gomega.Succeed())
+	var changes port.Snapshot
+	g.Eventually(got, testTimeout).Should(gomega.Receive(&changes))
+	g.Expect(changes.Rows).To(gomega.HaveLen(1))
+	g.Expect(changes.Rows[0].Key).To(gomega.Equal("b"))
+}
