io/peer: let tests use the connection that carries their stream

If both VMs dial each other, they have two connections; the test looked at the one preferred at that moment, while the stream stays on the one that it was opened on. After the failed check nobody released the unit that the meshes wait for when they stop. Change: the checks use the connection of the stream; the test opens a second connection itself, so that each run has the case; the unit is released by a cleanup. The check of abandoned reads had the same assumption. Ruled out: a fault of the mesh, since streams never move between connections.

--- a/io/peer/help_test.go
+++ b/io/peer/help_test.go
@@ -157,6 +157,13 @@
 	}
 }
 
+// currentConn returns the connection of the stream, nil before its first unit.
+func (s *remoteStream) currentConn() *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn
+}
+
 // connCount returns the number of connections with a VM.
 func (m *Mesh) connCount(vm string) int {
 	p := m.peer(vm)
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -171,16 +171,19 @@
 	}
 }
 
-// Guards against an answer that is delivered to the wrong unit or to a closed stream.
+// Guards against an answer that is delivered to the wrong unit or to a closed stream. Two VMs that dial each other at the same
+// time have two connections, and a stream stays on the one that was preferred when it was opened.
 func TestLateAnswerIsDropped(t *testing.T) {
 	g := gomega.NewWithT(t)
 	begun, release := make(chan struct{}), make(chan struct{})
+	releaseOnce := sync.OnceFunc(func() { close(release) })
 	a, _ := startPair(t, newOwnerStream(func(_ context.Context, _ work.Unit, sink work.Sink) work.Final {
 		close(begun)
 		<-release
 		_ = sink([]byte("late"))
 		return okFinal
 	}))
+	t.Cleanup(releaseOnce) // the meshes wait for the unit when they stop
 	ctx, cancel := context.WithCancel(testContext(t))
 	s := a.Stream("b")
 	done := make(chan work.Final, 1)
@@ -190,16 +193,20 @@
 	}()
 	// Wait until the owner runs the unit: a cancellation before that withdraws the unit, and the outcome is "not run".
 	g.Eventually(begun).Should(gomega.BeClosed())
-	g.Expect(a.currentConn("b").inUse()).To(gomega.BeTrue())
+	conn := s.(*remoteStream).currentConn()
+	g.Expect(conn.inUse()).To(gomega.BeTrue())
+	_, err := a.openConn(ctx, "b")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(a.currentConn("b")).NotTo(gomega.BeIdenticalTo(conn))
+	g.Expect(conn.inUse()).To(gomega.BeTrue())
 	// An answer to a stream id that is not open is counted as late and dropped.
-	conn := a.currentConn("b")
 	g.Expect(conn.handleAnswer(Answer{Stream: 1 << 60, Frames: []byte("x")})).To(gomega.Succeed())
 	g.Expect(a.Stats().LateAnswers()).To(gomega.BeEquivalentTo(1))
 	cancel()
 	var f work.Final
 	g.Eventually(done).WithTimeout(5 * time.Second).Should(gomega.Receive(&f))
 	g.Expect(f.Code).To(gomega.Equal(result.AnswerLost))
-	close(release)
+	releaseOnce()
 	g.Consistently(func() bool { return called }).WithTimeout(100 * time.Millisecond).Should(gomega.BeFalse())
 }
 
@@ -440,7 +447,9 @@
 		<-began
 	}
 	<-parts
-	a.currentConn("b").abandonReads(errors.New("VM b is suspected"))
+	for _, c := range a.conns() { // streams may be on two connections if both VMs dialled
+		c.abandonReads(errors.New("VM b is suspected"))
+	}
 	f := <-finals[len(boundUnits)]
 	g.Expect(f.Code).To(gomega.Equal(result.PeerUnreachable))
 	releaseAll()
