io/peer: register a connection before the membership hears of its VM

By reading: addConn let the membership hear of the VM before it registered the connection; a step in between found no connection to the new heartbeat partner and dialled it again, and the surplus connection stays until it has been idle for a minute. Change: the connection is registered first. Measured: TestConnectionIsRegisteredBeforeItsVM hangs in that order of steps before, and passes now. The failure itself did not show again in 240 runs of TestConnectToAddr of the old code beside load, nor in 240 of the new. Ruled out: VM far or b as the source of a's knowledge, since neither hears of c before a.

--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -228,18 +228,19 @@
 	return nil
 }
 
-// addConn registers a connection and starts its reader. It returns false if the mesh is closed.
+// addConn registers a connection and starts its reader. It returns false if the mesh is closed. The connection is registered before
+// the membership hears of the VM: otherwise the next heartbeat could dial the VM a second time.
 func (m *Mesh) addConn(c *conn, hello Hello) bool {
-	now := time.Now()
-	m.tableMu.Lock()
-	sendRecord := m.table.ObserveHello(now, hello.VM)
-	record, _ := m.table.Record(c.vm)
-	m.tableMu.Unlock()
 	p := m.peer(c.vm)
 	p.mu.Lock()
 	p.conns = append(p.conns, c)
 	p.dialErr, p.dialFailures = nil, 0
 	p.mu.Unlock()
+	now := time.Now()
+	m.tableMu.Lock()
+	sendRecord := m.table.ObserveHello(now, hello.VM)
+	record, _ := m.table.Record(c.vm)
+	m.tableMu.Unlock()
 	m.scanRequested.Store(true)
 	if sendRecord {
 		c.sendControl(Members{Records: []member.Record{record}})
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -642,6 +642,26 @@
 	}
 }
 
+// Guards against a second connection with a VM that has just connected: the membership must not hear of the VM, and dial it for a
+// heartbeat, before its connection is registered.
+func TestConnectionIsRegisteredBeforeItsVM(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := startMesh(t, Config{ID: "a"}, 0), startMesh(t, Config{ID: "b"}, 0)
+	ws, _, err := websocket.Dial(testContext(t), "ws://"+b.Addr()+webSocketPath, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	c := newConn(a, ws, "b", true)
+	added := make(chan bool, 1)
+	a.tableMu.Lock()
+	unlock := sync.OnceFunc(a.tableMu.Unlock)
+	defer unlock()
+	go func() {
+		added <- a.addConn(c, Hello{protocolVersion, member.Record{ID: "b", DataCentre: "dc0", Addr: b.Addr(), Incarnation: 1}})
+	}()
+	g.Eventually(func() *conn { return a.currentConn("b") }).Should(gomega.BeIdenticalTo(c))
+	unlock()
+	g.Eventually(added).Should(gomega.Receive(gomega.BeTrue()))
+}
+
 // Guards against a ConnectToAddr that accepts a host outside the deployment. The id is not known beforehand, so the CA
 // and the DNS name in the certificate must be checked.
 func TestConnectToAddrChecksCertificate(t *testing.T) {
