core/lead, io/watch: determine owners and groups once for a list, not for each server

Each VM builds two maps of all live VMs for each server whenever the list of VMs changes, and looks through all servers for each group whenever a server's entry does; in the start both happen several times a second. Change: lead.Owners holds the VMs of each data centre with their hashes, and takes the first two without sorting; the view of the servers groups them once; the names of the groups are sorted once for a configuration. Ruled out: a cache by server, which every new list empties.

--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -80,6 +80,7 @@
 	version            uint64
 	routes             map[string]Route
 	limits             map[string]int
+	groups             []string // in ascending order
 	maxTransactionIdle time.Duration
 }
 
@@ -87,7 +88,7 @@
 func NewConfig(version uint64, routes []Route, limits map[string]int, maxTransactionIdle time.Duration) Config {
 	c := Config{
 		version: version, routes: make(map[string]Route, len(routes)), limits: maps.Clone(limits),
-		maxTransactionIdle: maxTransactionIdle,
+		groups: slices.Sorted(maps.Keys(limits)), maxTransactionIdle: maxTransactionIdle,
 	}
 	for _, r := range routes {
 		c.routes[r.database] = r
@@ -110,8 +111,8 @@
 // Limit returns the connection limit of each server of a group.
 func (c Config) Limit(group string) int { return c.limits[group] }
 
-// Groups returns the names of the groups in ascending order.
-func (c Config) Groups() []string { return slices.Sorted(maps.Keys(c.limits)) }
+// Groups returns the names of the groups in ascending order. The caller must not change them.
+func (c Config) Groups() []string { return c.groups }
 
 // MaxTransactionIdle returns how long a transaction may be idle between statements.
 func (c Config) MaxTransactionIdle() time.Duration { return c.maxTransactionIdle }
@@ -160,16 +161,16 @@
 // StartMillis returns the server's start time in Unix milliseconds, or 0 if it is unknown.
 func (s Server) StartMillis() int64 { return s.born }
 
-// Servers returns the servers of a group, ordered by id.
-func Servers(all map[string]Server, group string) []Server {
-	var list []Server
+// ByGroup returns the servers of each group, ordered by id.
+func ByGroup(all map[string]Server) map[string][]Server {
+	groups := make(map[string][]Server)
 	for _, s := range all {
-		if s.group == group {
-			list = append(list, s)
-		}
+		groups[s.group] = append(groups[s.group], s)
 	}
-	slices.SortFunc(list, func(a, b Server) int { return cmp.Compare(a.id, b.id) })
-	return list
+	for _, list := range groups {
+		slices.SortFunc(list, func(a, b Server) int { return cmp.Compare(a.id, b.id) })
+	}
+	return groups
 }
 
 const (
--- a/core/lead/agent.go
+++ b/core/lead/agent.go
@@ -41,15 +41,26 @@
 	return w
 }
 
-// topBySize returns the first n members for key, larger VMs for more keys.
-func topBySize(key string, members map[string]Member, n int) []Member {
-	all := make([]owner.Weighted, 0, len(members))
+// sizeRanking orders VMs for keys, larger VMs first for more keys.
+type sizeRanking struct {
+	members []Member
+	ranking owner.Ranking
+}
+
+func newSizeRanking(members []Member) sizeRanking {
+	weighted := make([]owner.Weighted, 0, len(members))
 	for _, m := range members {
-		all = append(all, m.weighted())
+		weighted = append(weighted, m.weighted())
 	}
-	var top []Member
-	for _, name := range owner.TopWeighted(key, all, n) {
-		top = append(top, members[name])
+	return sizeRanking{members: members, ranking: owner.NewRanking(weighted)}
+}
+
+// top returns the first n members for key.
+func (r sizeRanking) top(key string, n int) []Member {
+	indices := r.ranking.Top(key, n)
+	top := make([]Member, 0, len(indices))
+	for _, i := range indices {
+		top = append(top, r.members[i])
 	}
 	return top
 }
@@ -70,18 +81,18 @@
 			largest = max(largest, m.weighted().Weight)
 		}
 	}
-	large, others := make(map[string]Member), make(map[string]Member)
+	var large, others []Member
 	for _, m := range live {
 		switch {
 		case m.dataCentre != dataCentre || m.address == "":
 		case m.weighted().Weight >= largest:
-			large[m.name] = m
+			large = append(large, m)
 		default:
-			others[m.name] = m
+			others = append(others, m)
 		}
 	}
-	agents := topBySize(dataCentre, large, maxAgents)
-	return append(agents, topBySize(dataCentre, others, maxAgents-len(agents))...)
+	agents := newSizeRanking(large).top(dataCentre, maxAgents)
+	return append(agents, newSizeRanking(others).top(dataCentre, maxAgents-len(agents))...)
 }
 
 // Merge returns one member for each VM from the rows of several agents. A VM that has seen an epoch uses no record from before
--- a/core/lead/owners_test.go
+++ b/core/lead/owners_test.go
@@ -14,12 +14,12 @@
 	return all
 }
 
-func ExampleOwners() {
+func ExampleOwners_Of() {
 	live := vmsIn("dc1", "dc2", "dc1", "dc2", "dc2")
-	for _, m := range Owners(live, "server", "dc1") {
+	for _, m := range NewOwners(live).Of("server", "dc1") {
 		fmt.Println(m.Name(), m.DataCentre())
 	}
-	fmt.Println(len(Owners(live, "server", "dc3")), "of other data centres")
+	fmt.Println(len(NewOwners(live).Of("server", "dc3")), "of other data centres")
 	// Output:
 	// vm-2 dc1
 	// vm-0 dc1
@@ -36,10 +36,11 @@
 	const servers = 500
 	owned := make(map[string]int)
 	moved := 0
+	ownersBefore, ownersAfter := NewOwners(live), NewOwners(live[1:])
 	for i := range servers {
 		server := fmt.Sprint("server-", i)
-		before := Owners(live, server, "dc")
-		after := Owners(live[1:], server, "dc")
+		before := ownersBefore.Of(server, "dc")
+		after := ownersAfter.Of(server, "dc")
 		owned[before[0].Name()]++
 		switch {
 		case before[0].Name() != live[0].Name() && before[0].Name() != after[0].Name():
@@ -61,7 +62,7 @@
 // Guards against owners without an address, to which nothing can be forwarded.
 func TestOwnersHaveAddresses(t *testing.T) {
 	live := append(vmsIn("dc"), NewMember("without", 1, time.Hour, nil).WithLocation("dc", ""))
-	if got := Owners(live, "server", "dc"); len(got) != 1 || got[0].Name() != "vm-0" {
+	if got := NewOwners(live).Of("server", "dc"); len(got) != 1 || got[0].Name() != "vm-0" {
 		t.Fatalf("owners %v", got)
 	}
 }
@@ -78,9 +79,10 @@
 		live = append(live, m.WithCores(cores))
 	}
 	large := 0
+	owners := NewOwners(live)
 	const servers = 4000
 	for i := range servers {
-		if Owners(live, fmt.Sprint("server-", i), "dc")[0].Cores() == 0.8 {
+		if owners.Of(fmt.Sprint("server-", i), "dc")[0].Cores() == 0.8 {
 			large++
 		}
 	}
@@ -93,3 +95,33 @@
 		t.Errorf("agents %v", agents)
 	}
 }
+
+// fleetOf returns n VMs in nine data centres.
+func fleetOf(n int) []Member {
+	var dcs []string
+	for i := range n {
+		dcs = append(dcs, fmt.Sprint("dc-", i%9))
+	}
+	return vmsIn(dcs...)
+}
+
+// Guards against a change of the list of VMs that costs a pass over all VMs, with memory for each, for every server: with hundreds
+// of VMs that start together, each of them spent most of its processor time on that.
+func TestOwnersOfManyServersAreCheap(t *testing.T) {
+	owners := NewOwners(fleetOf(790))
+	allocations := testing.AllocsPerRun(10, func() { owners.Of("server-1", "dc-1") })
+	if allocations > 8 {
+		t.Errorf("%v allocations for a server, want them independent of the VMs", allocations)
+	}
+}
+
+// BenchmarkOwners determines the owners of 2,460 servers among 790 VMs, as after a change of the list of VMs.
+func BenchmarkOwners(b *testing.B) {
+	live := fleetOf(790)
+	for b.Loop() {
+		owners := NewOwners(live)
+		for i := range 2460 {
+			owners.Of(fmt.Sprint("server-", i), fmt.Sprint("dc-", i%9))
+		}
+	}
+}
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -91,28 +91,42 @@
 	Weight float64
 }
 
-// TopWeighted returns the names of the first n members in the weighted rendezvous order for key, or of all if there are fewer. A
-// member comes first for a share of the keys in proportion to its weight.
-func TopWeighted(key string, members []Weighted, n int) []string {
-	type ranked struct {
-		name  string
-		score float64
+// Ranking orders weighted members for keys. It hashes the names of the members once, for use with many keys.
+type Ranking struct {
+	members []Weighted
+	hashes  []uint64
+}
+
+// NewRanking returns a ranking of the members.
+func NewRanking(members []Weighted) Ranking {
+	r := Ranking{members: members, hashes: make([]uint64, len(members))}
+	for i, m := range members {
+		r.hashes[i] = xxhash.Sum64String(m.Name)
 	}
+	return r
+}
+
+// Top returns the indices of the first n members in the weighted rendezvous order for key, or of all if there are fewer. A member
+// comes first for a share of the keys in proportion to its weight.
+func (r Ranking) Top(key string, n int) []int {
 	h := xxhash.Sum64String(key)
-	all := make([]ranked, len(members))
-	for i, m := range members {
+	top := make([]int, 0, n+1)
+	scores := make([]float64, 0, n+1)
+	for i, m := range r.members {
 		// The score is uniform; its 53 upper bits give a number between 0 and 1, without the ends.
-		u := (float64(score(h, xxhash.Sum64String(m.Name))>>11) + 0.5) / (1 << 53)
-		all[i] = ranked{m.Name, -m.Weight / math.Log(u)}
-	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
-	})
-	var names []string
-	for _, r := range all[:min(n, len(all))] {
-		names = append(names, r.name)
+		u := (float64(score(h, r.hashes[i])>>11) + 0.5) / (1 << 53)
+		s := -m.Weight / math.Log(u)
+		at := len(top)
+		for at > 0 && (s > scores[at-1] || s == scores[at-1] && m.Name < r.members[top[at-1]].Name) {
+			at--
+		}
+		if at >= n {
+			continue
+		}
+		top, scores = slices.Insert(top, at, i), slices.Insert(scores, at, s)
+		top, scores = top[:min(n, len(top))], scores[:min(n, len(scores))]
 	}
-	return names
+	return top
 }
 
 // Of returns the VM that owns the server at address: the first live VM of the server's data centre in rendezvous order,
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -263,7 +263,7 @@
 	groups    map[string]*Group
 	vmCount   int
 	live      []lead.Member
-	owners    map[string][]lead.Member // by server; cache derived from live
+	owners    lead.Owners // derived from live
 	forwarder Forwarder
 	view      *watch.View
 }
@@ -273,7 +273,7 @@
 func NewSet(vm, localDataCentre string, dialer port.Dialer, vmCount int, clock func() time.Time, log logs.Logger) *Set {
 	return &Set{
 		vm: vm, localDataCentre: localDataCentre, dialer: dialer, clock: clock, log: log, groups: make(map[string]*Group),
-		vmCount: vmCount, owners: make(map[string][]lead.Member),
+		vmCount: vmCount,
 	}
 }
 
@@ -333,12 +333,7 @@
 	if s.forwarder == nil || !layout.NeedsOwner(server.Slots(), s.vmCount) {
 		return nil
 	}
-	list, ok := s.owners[server.ID()]
-	if !ok {
-		list = lead.Owners(s.live, server.ID(), server.DataCentre())
-		s.owners[server.ID()] = list
-	}
-	return list
+	return s.owners.Of(server.ID(), server.DataCentre())
 }
 
 // limitsFor returns the limits of this VM's use of a server that accepts limit connections.
@@ -360,7 +355,7 @@
 	s.mu.Lock()
 	changed := n > 0 && (n != s.vmCount || !slices.EqualFunc(live, s.live, sameVM))
 	if changed {
-		s.vmCount, s.live, s.owners = n, live, make(map[string][]lead.Member)
+		s.vmCount, s.live, s.owners = n, live, lead.NewOwners(live)
 	}
 	view := s.view
 	s.mu.Unlock()
--- a/io/watch/directory.go
+++ b/io/watch/directory.go
@@ -42,6 +42,7 @@
 type View struct {
 	config  layout.Config
 	servers map[string]layout.Server
+	groups  map[string][]layout.Server
 }
 
 // Config returns the configuration in force.
@@ -54,7 +55,7 @@
 }
 
 // Group returns the servers of a group, ordered by id.
-func (v *View) Group(name string) []layout.Server { return layout.Servers(v.servers, name) }
+func (v *View) Group(name string) []layout.Server { return v.groups[name] }
 
 // ServerCount returns the number of registered servers.
 func (v *View) ServerCount() int { return len(v.servers) }
@@ -117,7 +118,7 @@
 
 // publish makes a copy of the configuration and the servers the current view. The caller holds mu.
 func (d *Directory) publish() {
-	v := &View{config: d.config, servers: maps.Clone(d.servers)}
+	v := &View{config: d.config, servers: maps.Clone(d.servers), groups: layout.ByGroup(d.servers)}
 	d.view.Store(v)
 	d.onChange(v)
 }
