io/reach: let reads avoid data centres that do not answer

Pings no longer wait for each other; a call that was under way while this VM was suspended does not count. Ruled out: sharing failures between VMs, as a VM that is itself cut off would mislead the others.

--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -2,66 +2,68 @@
 
 // Log events. Each layer has its own range of a hundred numbers.
 const (
-	NodeStarted       ID = 100
-	NodeStopped       ID = 101
-	NodeFailed        ID = 102
-	KeysLoaded        ID = 103
-	KeysRefused       ID = 104
-	FilesLimit        ID = 105
-	LinesDropped      ID = 106
-	SettingsRead      ID = 107
-	PanicRecovered    ID = 108
-	CallerRefused     ID = 200
-	CallerProtocol    ID = 201
-	CallerClosed      ID = 202
-	StatementDone     ID = 203
-	RouteRetry        ID = 300
-	RouteNoBarrier    ID = 301
-	EndptDown         ID = 400
-	EndptUp           ID = 401
-	EndptPoisoned     ID = 402
-	EndptLeaving      ID = 403
-	EndptEvicted      ID = 404
-	EndptNotEvicted   ID = 405
-	ServerSeen        ID = 406
-	ServerGone        ID = 407
-	ServerRefused     ID = 408
-	PeerConnected     ID = 500
-	PeerLost          ID = 501
-	PeerBadMessage    ID = 502
-	SeedsUnreachable  ID = 503
-	MemberSuspect     ID = 600
-	MemberDead        ID = 601
-	MemberAlive       ID = 602
-	OwnerChanged      ID = 603
-	MemberLeaving     ID = 604
-	OwnerFailed       ID = 605
-	ForwardFailed     ID = 606
-	PrimarySilent     ID = 700
-	PromotionStarted  ID = 701
-	PromotionDone     ID = 702
-	PromotionFailed   ID = 703
-	TermReserved      ID = 704
-	LeaderChanged     ID = 705
-	LeaseRenewed      ID = 706
-	LeaseLost         ID = 707
-	LeadersKnown      ID = 708
-	ReplicasBehind    ID = 709
-	AgentChanged      ID = 710
-	AgentFailed       ID = 711
-	ContactLost       ID = 712
-	ContactRegained   ID = 713
-	ConfigApplied     ID = 800
-	ConfigOlder       ID = 801
-	ConfigRefused     ID = 802
-	ConfigFromPeer    ID = 803
-	StoreDown         ID = 900
-	StoreUp           ID = 901
-	StoreAnswerLost   ID = 902
-	AdminCall         ID = 1000
-	DrainPhase        ID = 1100
-	DrainTimeout      ID = 1101
-	InvariantViolated ID = 1200
+	NodeStarted        ID = 100
+	NodeStopped        ID = 101
+	NodeFailed         ID = 102
+	KeysLoaded         ID = 103
+	KeysRefused        ID = 104
+	FilesLimit         ID = 105
+	LinesDropped       ID = 106
+	SettingsRead       ID = 107
+	PanicRecovered     ID = 108
+	CallerRefused      ID = 200
+	CallerProtocol     ID = 201
+	CallerClosed       ID = 202
+	StatementDone      ID = 203
+	RouteRetry         ID = 300
+	RouteNoBarrier     ID = 301
+	EndptDown          ID = 400
+	EndptUp            ID = 401
+	EndptPoisoned      ID = 402
+	EndptLeaving       ID = 403
+	EndptEvicted       ID = 404
+	EndptNotEvicted    ID = 405
+	ServerSeen         ID = 406
+	ServerGone         ID = 407
+	ServerRefused      ID = 408
+	PeerConnected      ID = 500
+	PeerLost           ID = 501
+	PeerBadMessage     ID = 502
+	SeedsUnreachable   ID = 503
+	MemberSuspect      ID = 600
+	MemberDead         ID = 601
+	MemberAlive        ID = 602
+	OwnerChanged       ID = 603
+	MemberLeaving      ID = 604
+	OwnerFailed        ID = 605
+	ForwardFailed      ID = 606
+	PrimarySilent      ID = 700
+	PromotionStarted   ID = 701
+	PromotionDone      ID = 702
+	PromotionFailed    ID = 703
+	TermReserved       ID = 704
+	LeaderChanged      ID = 705
+	LeaseRenewed       ID = 706
+	LeaseLost          ID = 707
+	LeadersKnown       ID = 708
+	ReplicasBehind     ID = 709
+	AgentChanged       ID = 710
+	AgentFailed        ID = 711
+	ContactLost        ID = 712
+	ContactRegained    ID = 713
+	DataCentreLost     ID = 714
+	DataCentreRegained ID = 715
+	ConfigApplied      ID = 800
+	ConfigOlder        ID = 801
+	ConfigRefused      ID = 802
+	ConfigFromPeer     ID = 803
+	StoreDown          ID = 900
+	StoreUp            ID = 901
+	StoreAnswerLost    ID = 902
+	AdminCall          ID = 1000
+	DrainPhase         ID = 1100
+	DrainTimeout       ID = 1101
+	InvariantViolated  ID = 1200
 )
 
 var infos = []Info{
@@ -114,6 +116,8 @@
 	{AgentFailed, LayerFailover, "agent VM cannot call the store", "None, unless it repeats; then check that VM and its network path to the store."},
 	{ContactLost, LayerFailover, "no VM of another data centre answers", "Check the network between the data centres; the VM is not ready if most primaries are in other data centres."},
 	{ContactRegained, LayerFailover, "VMs of other data centres answer", "None."},
+	{DataCentreLost, LayerFailover, "no VM of a data centre answers", "Check the network to that data centre; reads use servers elsewhere."},
+	{DataCentreRegained, LayerFailover, "VMs of a data centre answer again", "None."},
 	{ConfigApplied, LayerConfig, "configuration revision in force", "None."},
 	{ConfigOlder, LayerConfig, "store holds an older configuration", "Find out why the store holds an older state; the VMs keep the newer configuration."},
 	{ConfigRefused, LayerConfig, "configuration change refused", "Correct the errors listed, or base the change on the current revision."},
--- a/core/event/level.go
+++ b/core/event/level.go
@@ -57,6 +57,7 @@
 	ReplicasBehind:    LevelWarn,
 	AgentFailed:       LevelWarn,
 	ContactLost:       LevelWarn,
+	DataCentreLost:    LevelWarn,
 	LinesDropped:      LevelWarn,
 	ConfigOlder:       LevelWarn,
 	ConfigRefused:     LevelWarn,
--- a/core/lead/contact.go
+++ b/core/lead/contact.go
@@ -66,3 +66,47 @@
 func (c *IsolationDetector) CutOff(now time.Time) bool {
 	return len(c.unanswered) >= minUnreachableVMs && now.Sub(c.firstFailure) >= isolationTimeout
 }
+
+// Reachability judges from the answers of VMs in other data centres which of these data centres this VM can reach. Without it,
+// each VM would have to find out with callers' statements, server by server, that a data centre is cut off. It is not safe for
+// concurrent use.
+type Reachability struct {
+	all          IsolationDetector
+	byDataCentre map[string]*IsolationDetector
+}
+
+// RecordAnswer records that a VM of the data centre answered.
+func (r *Reachability) RecordAnswer(dataCentre string) {
+	r.all.RecordAnswer()
+	delete(r.byDataCentre, dataCentre)
+}
+
+// RecordFailure records that vm, of the data centre, did not answer a call sent at sent.
+func (r *Reachability) RecordFailure(dataCentre, vm string, sent time.Time) {
+	r.all.RecordFailure(vm, sent)
+	if r.byDataCentre == nil {
+		r.byDataCentre = make(map[string]*IsolationDetector)
+	}
+	if r.byDataCentre[dataCentre] == nil {
+		r.byDataCentre[dataCentre] = &IsolationDetector{}
+	}
+	r.byDataCentre[dataCentre].RecordFailure(vm, sent)
+}
+
+// CutOff reports whether this VM counts as cut off from all other data centres at now.
+func (r *Reachability) CutOff(now time.Time) bool { return r.all.CutOff(now) }
+
+// Unreachable returns the data centres that count as unreachable at now, in ascending order.
+func (r *Reachability) Unreachable(now time.Time) []string {
+	var all []string
+	for dc, d := range r.byDataCentre {
+		if d.CutOff(now) {
+			all = append(all, dc)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Unanswered returns the data centres of which a VM has not answered since the last answer from there, in ascending order.
+func (r *Reachability) Unanswered() []string { return slices.Sorted(maps.Keys(r.byDataCentre)) }
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -64,6 +64,7 @@
 		var b BacklogDetector
 		var granted Grants
 		var contact IsolationDetector
+		var paths Reachability
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			at := func(key string) time.Time {
 				var text string
@@ -145,6 +146,19 @@
 				return strconv.FormatBool(contact.CutOff(start.Add(time.Hour)))
 			case "contact-lost":
 				return strconv.FormatBool(contact.CutOff(at("now")))
+			case "path-failed":
+				var dataCentre, vm string
+				d.ScanArgs(t, "data-centre", &dataCentre)
+				d.ScanArgs(t, "vm", &vm)
+				paths.RecordFailure(dataCentre, vm, at("asked"))
+				return strings.Join(paths.Unanswered(), " ")
+			case "path-answered":
+				var dataCentre string
+				d.ScanArgs(t, "data-centre", &dataCentre)
+				paths.RecordAnswer(dataCentre)
+				return strings.Join(paths.Unanswered(), " ")
+			case "paths":
+				return fmt.Sprint(paths.Unreachable(at("now")), " cut off ", paths.CutOff(at("now")))
 			case "contacts":
 				var self, dataCentre string
 				d.ScanArgs(t, "self", &self)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -26,6 +26,7 @@
 	"verbenagate/io/logs"
 	"verbenagate/io/metric"
 	"verbenagate/io/pool"
+	"verbenagate/io/reach"
 	"verbenagate/io/relay"
 	"verbenagate/io/remote"
 	"verbenagate/io/watch"
@@ -112,7 +113,10 @@
 	log.Event(event.NodeStarted, zap.String("vm", s.VM()), zap.String("data_centre", s.DataCentre()))
 	var elector atomic.Pointer[elect.Elector]
 	clients := link.NewClients(ctx, Clock)
-	forwarder := remote.NewCaller(ctx, clients, Clock, log)
+	self := lead.NewMember(s.VM(), 0, 0, nil).WithLocation(s.DataCentre(), s.Peers()).WithCores(s.Cores())
+	paths := reach.New(self, clients.Ping, Clock, log)
+	e.pools.SetPaths(paths)
+	forwarder := remote.NewCaller(ctx, clients, paths, Clock, log)
 	if s.Peers() != "" {
 		e.pools.SetForwarder(forwarder)
 	}
@@ -126,8 +130,7 @@
 			el.ReapplyPrimaries()
 		}
 	})
-	self := lead.NewMember(s.VM(), 0, 0, nil).WithLocation(s.DataCentre(), s.Peers()).WithCores(s.Cores())
-	e.elector = elect.New(self, a.Rows, agents, a.Orders, e.pools, e.directory.View, Clock, log)
+	e.elector = elect.New(self, a.Rows, agents, a.Orders, e.pools, paths, e.directory.View, Clock, log)
 	elector.Store(e.elector)
 	agents.SetGranter(e.elector)
 	e.owner = remote.NewOwner(ctx, e.pools, e.elector, forwarder, Clock, log)
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -19,6 +19,7 @@
 	"verbenagate/core/retry"
 	"verbenagate/io/logs"
 	"verbenagate/io/pool"
+	"verbenagate/io/reach"
 	"verbenagate/io/watch"
 )
 
@@ -85,8 +86,6 @@
 	Renew(ctx context.Context, m lead.Member, leave bool) error
 	// SetAgents sets the VMs that act as agents.
 	SetAgents(agents []lead.Member)
-	// Ping checks that the VM at address answers within limit.
-	Ping(ctx context.Context, address string, limit time.Duration) error
 }
 
 // Elector holds this VM's lease and decides which primaries it may use and which it replaces. It is safe for concurrent use.
@@ -97,6 +96,7 @@
 	agents        Agents
 	promoter      port.Promoter
 	pools         *pool.Set
+	paths         *reach.Monitor
 	view          func() *watch.View
 	clock         Clock
 	log           logs.Logger
@@ -122,19 +122,16 @@
 	members       []lead.Member
 	listed        bool                     // members contains this VM; before, VMs that start together would all act on each group
 	watchers      map[string][]lead.Member // by group; cache derived from members
-	contacts      []lead.Member            // VMs of other data centres that are pinged in turn
-	isolation     lead.IsolationDetector
-	cutOff        bool          // this VM is cut off from all other data centres
-	changed       chan struct{} // closed and replaced when a record or the lease changes
+	changed       chan struct{}            // closed and replaced when a record or the lease changes
 	stopping      bool
 }
 
 // New returns the elector of the VM self. It does nothing until Start is called.
-func New(self lead.Member, rows port.RowStore, agents Agents, promoter port.Promoter, pools *pool.Set, view func() *watch.View,
-	clock Clock, log logs.Logger,
+func New(self lead.Member, rows port.RowStore, agents Agents, promoter port.Promoter, pools *pool.Set, paths *reach.Monitor,
+	view func() *watch.View, clock Clock, log logs.Logger,
 ) *Elector {
 	return &Elector{
-		self: self, name: self.Name(), rows: rows, agents: agents, promoter: promoter, pools: pools, view: view, clock: clock, log: log,
+		self: self, name: self.Name(), rows: rows, agents: agents, promoter: promoter, pools: pools, paths: paths, view: view, clock: clock, log: log,
 		renewSignal: make(chan struct{}, 1), renewRequests: make(chan *renewRequest), groups: make(map[string]*groupState),
 		changed: make(chan struct{}), started: clock(),
 	}
@@ -157,11 +154,10 @@
 			e.renewAndWait(ctx)
 		}
 	})
-	e.background.Go(func() {
-		for n := 0; ctx.Err() == nil; n++ {
-			e.pingContact(ctx, n)
-			e.sleep(ctx, pingInterval)
-		}
+	e.paths.Start(ctx, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.notifyChanged()
 	})
 	e.background.Go(func() {
 		t := time.NewTicker(checkInterval)
@@ -184,7 +180,10 @@
 }
 
 // Wait waits until the elector has ended all that Start began. Call it when the context passed to Start has ended.
-func (e *Elector) Wait() { e.background.Wait() }
+func (e *Elector) Wait() {
+	e.paths.Wait()
+	e.background.Wait()
+}
 
 // PrimaryUse is permission to use a group's primary for one transaction or statement.
 type PrimaryUse struct {
@@ -227,7 +226,7 @@
 	if g == nil || g.record.Phase() != lead.Stable || g.servingVersion == 0 || g.suspected || !e.lease.Valid(e.clock()) {
 		return PrimaryUse{}, false
 	}
-	if e.cutOff && !e.isPrimaryNearby(g) {
+	if e.paths.CutOff() && !e.isPrimaryNearby(g) {
 		return PrimaryUse{}, false
 	}
 	g.activeUses++
@@ -243,12 +242,13 @@
 		return true
 	}
 	n, total := 0, 0
+	cutOff := e.paths.CutOff()
 	for _, g := range e.groups {
 		if g.record.Version() == 0 {
 			continue
 		}
 		total++
-		if g.suspected || (e.cutOff && !e.isPrimaryNearby(g)) {
+		if g.suspected || (cutOff && !e.isPrimaryNearby(g)) {
 			n++
 		}
 	}
@@ -515,9 +515,9 @@
 	e.mu.Lock()
 	e.members, e.watchers = fleet.Live(), make(map[string][]lead.Member)
 	e.listed = slices.ContainsFunc(e.members, func(m lead.Member) bool { return m.Name() == e.name })
-	e.contacts = lead.Contacts(e.members, e.name, e.self.DataCentre())
 	agents := lead.Agents(e.members, e.self.DataCentre())
 	e.mu.Unlock()
+	e.paths.SetMembers(fleet.Live())
 	e.pools.SetMembers(fleet.Live(), fleet.Holders())
 	e.agents.SetAgents(agents)
 }
@@ -558,6 +558,12 @@
 	return memberReadInterval*3/4 + time.Duration(retry.Jitter()*float64(memberReadInterval)/2)
 }
 
+// isPrimaryNearby reports whether the group's primary is in this VM's data centre. The caller holds mu.
+func (e *Elector) isPrimaryNearby(g *groupState) bool {
+	s, ok := e.view().Server(g.record.Server())
+	return ok && s.DataCentre() == e.self.DataCentre()
+}
+
 // isWatchedPrimarySuspected reports whether this VM watches a primary that is suspected or to be replaced.
 func (e *Elector) isWatchedPrimarySuspected() bool {
 	e.mu.Lock()
@@ -624,7 +630,7 @@
 func (e *Elector) State() State {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := State{Epoch: e.epoch, CutOff: e.cutOff, LeaseLeft: e.lease.Until().Sub(e.clock())}
+	s := State{Epoch: e.epoch, CutOff: e.paths.CutOff(), LeaseLeft: e.lease.Until().Sub(e.clock())}
 	for _, m := range e.members {
 		s.VMs = append(s.VMs, m.Name())
 	}
--- a/io/link/client.go
+++ b/io/link/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -38,6 +39,12 @@
 	errSilent  = errors.New("a ping was not answered")
 )
 
+// Silent reports whether a call failed because nothing came from the other VM: neither an answer to a ping, nor to the attempt to
+// connect to it. A VM that refuses a connection is not silent.
+func Silent(err error) bool {
+	return result.HasCause(err, errSilent) || result.HasCause(err, os.ErrDeadlineExceeded) || result.HasCause(err, context.DeadlineExceeded)
+}
+
 // Options say how a call waits for its reply.
 type Options struct {
 	// Timeout is the time limit for the reply.
@@ -368,7 +375,7 @@
 			go c.ping()
 			ping.Reset(o.Ping)
 		case <-silence:
-			return nil, true, result.New(result.AnswerLost, "the VM at %s is silent", c.address)
+			return nil, true, result.Wrap(result.AnswerLost, errSilent, "the VM at %s is silent", c.address)
 		case <-timeout.C:
 			return nil, true, result.Wrap(result.AnswerLost, ErrTimeout, "the VM at %s did not reply within %s", c.address, o.Timeout)
 		case <-ctx.Done():
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -120,12 +120,14 @@
 	sent, err := c.Call(t.Context(), address, List, echo{}, nil, Options{Timeout: testTimeout, Ping: PromptPing})
 	g.Expect(result.CodeOf(err)).To(gomega.Equal(result.AnswerLost))
 	g.Expect(result.HasCause(err, ErrTimeout)).To(gomega.BeFalse())
+	g.Expect(Silent(err)).To(gomega.BeTrue())
 	g.Expect(sent).To(gomega.BeTrue())
 	g.Expect(time.Since(start)).To(gomega.BeNumerically("<", testTimeout/2))
 	g.Expect(c.Open()).To(gomega.BeEmpty())
 	g.Expect(persisting).NotTo(gomega.Receive())
 	_, err = c.Call(t.Context(), address, List, echo{}, nil, Options{Timeout: 10 * time.Millisecond, Ping: PromptPing})
 	g.Expect(result.HasCause(err, ErrTimeout)).To(gomega.BeTrue())
+	g.Expect(Silent(err)).To(gomega.BeFalse(), "the VM had no time to answer a ping")
 	g.Expect(connections.Load()).To(gomega.BeEquivalentTo(2), "a new connection is opened beside the silent one")
 	g.Eventually(persisting, testTimeout).Should(gomega.Receive(gomega.Satisfy(func(err error) bool {
 		return result.HasCause(err, ErrTimeout)
@@ -140,6 +142,7 @@
 	g.Expect(l.Close()).To(gomega.Succeed())
 	sent, err := newClients(t).Call(t.Context(), l.Addr().String(), List, echo{}, nil, Options{Timeout: testTimeout, Ping: PromptPing})
 	g.Expect(sent).To(gomega.BeFalse())
+	g.Expect(Silent(err)).To(gomega.BeFalse(), "the VM refused the connection")
 	g.Expect(result.CodeOf(err)).To(gomega.Equal(result.PeerUnreachable))
 }
 
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -49,6 +49,13 @@
 	leaderVersion uint64                   // version of the record that names the leader
 	owners        map[string][]lead.Member // by server; empty if each VM uses connections of its own
 	forwarder     Forwarder
+	paths         Paths
+}
+
+// Paths tells which data centres this VM cannot reach.
+type Paths interface {
+	// Unreachable reports whether no VM of a data centre answers this VM.
+	Unreachable(dataCentre string) bool
 }
 
 // Pool returns the pool of a server, or false if the server is not registered any more.
@@ -141,18 +148,39 @@
 }
 
 // Choose returns the server for a statement with this need, other than those in excluded, and counts the statement as running
-// there. It returns false if there is none.
+// there. Servers in data centres that cannot be reached are chosen last. It returns false if there is none.
 func (g *Group) Choose(need route.Need, excluded []string) (string, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock()
-	id, ok := g.table.Choose(now, need, excluded)
+	id, ok := "", false
+	unreachable := g.unreachableServers()
+	if len(unreachable) > 0 {
+		id, ok = g.table.Choose(now, need, append(unreachable, excluded...))
+	}
+	if !ok {
+		id, ok = g.table.Choose(now, need, excluded)
+	}
 	if ok {
 		g.table.Started(now, id)
 	}
 	return id, ok
 }
 
+// unreachableServers returns the ids of the servers in data centres that this VM cannot reach. The caller holds mu.
+func (g *Group) unreachableServers() []string {
+	if g.paths == nil {
+		return nil
+	}
+	var ids []string
+	for _, s := range g.members {
+		if g.paths.Unreachable(s.DataCentre()) {
+			ids = append(ids, s.ID())
+		}
+	}
+	return ids
+}
+
 // Started counts a statement as running on the server id. It is for statements whose server was not chosen by Choose.
 func (g *Group) Started(id string) {
 	g.mu.Lock()
@@ -265,6 +293,7 @@
 	live      []lead.Member
 	owners    lead.Owners // derived from live
 	forwarder Forwarder
+	paths     Paths
 	view      *watch.View
 }
 
@@ -281,6 +310,9 @@
 // called before the first Update.
 func (s *Set) SetForwarder(f Forwarder) { s.forwarder = f }
 
+// SetPaths sets what tells which data centres cannot be reached. It must be called before the first Update.
+func (s *Set) SetPaths(p Paths) { s.paths = p }
+
 // Group returns a group of the configuration.
 func (s *Set) Group(name string) (*Group, bool) {
 	s.mu.Lock()
@@ -310,7 +342,7 @@
 		if !ok {
 			g = &Group{
 				name: name, vm: s.vm, localDataCentre: s.localDataCentre, clock: s.clock, dialer: s.dialer, log: s.log,
-				pools: make(map[string]*Pool), forwarder: s.forwarder,
+				pools: make(map[string]*Pool), forwarder: s.forwarder, paths: s.paths,
 				table: route.NewTable(s.localDataCentre, nil, route.NewCosts(remotePenalty, primaryPenalty)),
 			}
 			s.groups[name] = g
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -280,3 +280,37 @@
 		g.Expect(chosen[id]).To(gomega.BeNumerically(">=", vms*2/5), id)
 	}
 }
+
+// cutPaths holds the data centres that cannot be reached.
+type cutPaths map[string]bool
+
+func (p cutPaths) Unreachable(dataCentre string) bool { return p[dataCentre] }
+
+// Guards against reads that each wait for a server in a data centre that is cut off, until every VM has found out for every server
+// that it does not answer, and against reads that are refused if there is no other server.
+func TestReadsAvoidUnreachableDataCentres(t *testing.T) {
+	g := gomega.NewWithT(t)
+	paths := cutPaths{}
+	group := &Group{
+		name: "ledger", vm: "vm", localDataCentre: "dc1", clock: time.Now, log: nopLogger{}, pools: make(map[string]*Pool), paths: paths,
+	}
+	var members []layout.Server
+	for n := range 3 {
+		members = append(members, layout.NewServer(fmt.Sprint("s", n), "ledger", "", fmt.Sprint("dc", n), 3, false, n == 0, 1))
+	}
+	group.update(members, fixedLimits(1, 1), nil)
+	group.SetLeader("s0", 1)
+	for n := range 3 {
+		group.RecordPosition(fmt.Sprint("s", n), time.Now(), point.New(1, 10), true)
+	}
+	choose := func(excluded ...string) string {
+		id, _ := group.Choose(route.NewAtLeast(point.New(1, 10)), excluded)
+		return id
+	}
+	g.Expect(choose()).To(gomega.Equal("s1"), "the replica of the own data centre")
+	paths["dc1"] = true
+	g.Expect(choose()).To(gomega.Equal("s2"))
+	g.Expect(choose("s2")).To(gomega.Equal("s0"), "the primary rather than a replica that cannot be reached")
+	paths["dc0"], paths["dc2"] = true, true
+	g.Expect(choose()).NotTo(gomega.BeEmpty())
+}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -195,11 +195,6 @@
 	}))
 }
 
-// Ping asks the VM at address for a reply and returns an error if none arrives within timeout.
-func (r *Relay) Ping(ctx context.Context, address string, timeout time.Duration) error {
-	return r.clients.Ping(ctx, address, timeout)
-}
-
 // agentCall is a call to an agent.
 type agentCall struct {
 	method  link.Method
--- a/io/remote/caller.go
+++ b/io/remote/caller.go
@@ -40,15 +40,24 @@
 	clients     *link.Clients
 	clock       func() time.Time
 	log         logs.Logger
+	paths       Paths
 	lastSession atomic.Uint64
 
 	mu          sync.Mutex
 	pausedUntil map[string]time.Time // by VM
 }
 
+// Paths learns from the calls of other VMs which data centres can be reached.
+type Paths interface {
+	// RecordAnswer records that a VM answered a call.
+	RecordAnswer(vm lead.Member)
+	// RecordFailure records that a VM did not answer a call sent at sent.
+	RecordFailure(vm lead.Member, sent time.Time)
+}
+
 // NewCaller returns a Caller that uses the connections of clients.
-func NewCaller(ctx context.Context, clients *link.Clients, clock func() time.Time, log logs.Logger) *Caller {
-	return &Caller{ctx: ctx, clients: clients, clock: clock, log: log, pausedUntil: make(map[string]time.Time)}
+func NewCaller(ctx context.Context, clients *link.Clients, paths Paths, clock func() time.Time, log logs.Logger) *Caller {
+	return &Caller{ctx: ctx, clients: clients, paths: paths, clock: clock, log: log, pausedUntil: make(map[string]time.Time)}
 }
 
 // Forward implements pool.Forwarder.
@@ -164,6 +173,7 @@
 		}
 	}
 	var r runReply
+	calledAt := s.caller.clock()
 	sent, err := s.caller.clients.Call(s.caller.ctx, s.owner.Address(), link.Run, q, &r, link.Options{
 		Timeout: timeout, Ping: link.PromptPing, Persist: s.id != 0 || !s.request.ReadOnly,
 	})
@@ -171,9 +181,13 @@
 		if !result.HasCause(err, link.ErrTimeout) {
 			s.caller.pause(s.owner, failedOwnerPause, err)
 		}
+		if link.Silent(err) {
+			s.caller.paths.RecordFailure(s.owner, calledAt)
+		}
 		s.lost = true
 		return exec.Result{}, sent, err
 	}
+	s.caller.paths.RecordAnswer(s.owner)
 	if r.Error != 0 {
 		if r.Error == result.ShuttingDown {
 			s.caller.pause(s.owner, stoppingOwnerPause, result.New(r.Error, "%s", r.Message))
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -48,11 +48,18 @@
 	}
 }
 
+// countingPaths counts the calls that were answered, and those to silent VMs.
+type countingPaths struct{ answers, failures atomic.Int64 }
+
+func (p *countingPaths) RecordAnswer(lead.Member)             { p.answers.Add(1) }
+func (p *countingPaths) RecordFailure(lead.Member, time.Time) { p.failures.Add(1) }
+
 // vm is a VM without sessions: it forwards and runs forwarded statements.
 type vm struct {
 	name    string
 	pools   *pool.Set
 	owner   *Owner
+	paths   countingPaths
 	address string
 	clock   atomic.Int64 // how far its clock is ahead, in nanoseconds
 	stop    func()
@@ -90,7 +97,7 @@
 	v := &vm{name: name}
 	clock := func() time.Time { return time.Now().Add(time.Duration(v.clock.Load())) }
 	clients := link.NewClients(ctx, clock)
-	caller := NewCaller(ctx, clients, clock, discardLogger{})
+	caller := NewCaller(ctx, clients, &v.paths, clock, discardLogger{})
 	v.pools = pool.NewSet(name, "dc", platform.NewDialer(name), manyVMs, clock, discardLogger{})
 	v.pools.SetForwarder(caller)
 	v.owner = NewOwner(ctx, v.pools, &certainElector{}, caller, clock, discardLogger{})
@@ -278,6 +285,21 @@
 	g.Expect(servers.servers.Server(0).Data("x")).To(gomega.Equal([]string{"two"}))
 }
 
+// Guards against a data centre that counts as unreachable because an owner in it has ended, and against forwarded statements that do
+// not show that the owner's data centre can be reached. Only silence says that a path is cut.
+func TestPathsLearnFromForwardedStatements(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, owner, v := newPair(t)
+	_, _, err := run(v.acquire(t, "ledger-0"), "w1", "WRITE x one")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(v.paths.answers.Load()).To(gomega.BeEquivalentTo(1))
+	s := v.acquire(t, "ledger-0")
+	owner.stop()
+	_, _, err = run(s, "w2", "WRITE x two")
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(v.paths.failures.Load()).To(gomega.BeZero())
+}
+
 // Guards against an owner that was suspended and runs a statement whose caller has long been told that its outcome is unknown. The
 // owner tells from its clock, which goes on while it is suspended, that the call is too old.
 func TestSuspendedOwnerDropsOldCalls(t *testing.T) {
