io/elect: keep a primary that answers again before its replacement is ordered

Cause: by reading: a replacement waits up to 6 s for the leases of VMs that are cut off. Not for a replacement that another VM began. Ruled out: asking it after quick confirmations, when the reasons have hardly changed.

--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"verbenagate/io/edge"
+	"verbenagate/io/elect"
 	"verbenagate/io/entry"
 	"verbenagate/io/watch"
 	"verbenagate/lab/lines"
@@ -257,6 +259,21 @@
 			s.waitFor("new configuration in force at VM "+name, func() bool { return vm.State().Config == uint64(s.version) })
 		}
 		return ""
+	case "silent-vm":
+		// The lease of a VM that confirms nothing any more.
+		lease, err := time.ParseDuration(arg(1))
+		if err != nil {
+			return err.Error()
+		}
+		s.store.Put("verbenagate-vms", arg(0), fmt.Appendf(nil,
+			`{"vms":[{"name":%q,"epoch":0,"until_ms":%d}]}`, arg(0), (s.store.Clock()+lease).Milliseconds()))
+		return ""
+	case "moving":
+		s.waitFor("primary being replaced at VM "+arg(0), func() bool {
+			st := s.vms[arg(0)].State().Elector
+			return slices.ContainsFunc(st.Groups, func(g elect.GroupState) bool { return g.Moving })
+		})
+		return ""
 	case "lease-lost":
 		s.waitFor("lease expired", func() bool { return s.vms[arg(0)].State().Elector.LeaseLeft <= 0 })
 		return fmt.Sprint("ready ", s.vms[arg(0)].Ready())
--- a/io/elect/move.go
+++ b/io/elect/move.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,6 +31,13 @@
 	minStatusRounds = 3
 	// catchUpTimeout is how long a replica may take to receive all that a still reachable primary has committed.
 	catchUpTimeout = 1200 * time.Millisecond
+	// oldPrimaryPollInterval is how often a primary that was unreachable is asked again while VMs confirm that it is being replaced.
+	oldPrimaryPollInterval = 200 * time.Millisecond
+	// minReturnWait is how long the confirmation must have taken for the old primary to be kept because it answers again. Within a
+	// shorter time the reasons to replace it have hardly changed.
+	minReturnWait = time.Second
+	// maxReturnAge is how long ago the old primary may have answered then.
+	maxReturnAge = 500 * time.Millisecond
 	// promotionTimeout is how long an ordered promotion may take to take effect before it is ordered again.
 	promotionTimeout = 2500 * time.Millisecond
 )
@@ -39,12 +47,18 @@
 
 // movePrimary replaces a group's primary. It fails when another VM takes the replacement over. With keepPrimary, the old primary
 // is still serving, and it stays the primary unless a replica has received all that it committed.
+//
+// A primary that was unreachable also stays the primary if it answers again while other VMs still have to confirm the replacement, as
+// after a partition that is shorter than their leases.
 func (e *Elector) movePrimary(ctx context.Context, pg *pool.Group, group string, old lead.Record, keepPrimary bool) {
 	began := e.clock()
 	e.log.Event(event.PromotionStarted, zap.String("group", group), zap.String("server", old.Server()),
 		zap.Uint64("version", old.Version()), zap.Bool("resumed", old.Phase() == lead.Moving),
 		zap.Bool("keep", keepPrimary))
-	m := &primaryMove{e: e, pg: pg, group: group, record: old, oldPrimary: old.Server(), keepPrimary: keepPrimary}
+	m := &primaryMove{
+		e: e, pg: pg, group: group, record: old, oldPrimary: old.Server(), oldTerm: old.Term(), keepPrimary: keepPrimary,
+		mayReturn: old.Phase() == lead.Stable && !keepPrimary && e.isSuspected(group),
+	}
 	server, err := m.run(ctx)
 	if err != nil {
 		e.log.Event(event.PromotionFailed, zap.String("group", group), zap.Error(err))
@@ -64,7 +78,9 @@
 	pg               *pool.Group
 	group            string
 	oldPrimary       string
+	oldTerm          uint64
 	keepPrimary      bool
+	mayReturn        bool // the old primary was unreachable, and no promotion can have been ordered yet
 	promotionOrdered bool // a promotion has been ordered and may take effect late
 	record           lead.Record
 	recordWritten    time.Time // when the request that last wrote the record was sent
@@ -76,9 +92,16 @@
 		return "", err
 	}
 	epoch := m.record.Version()
-	if err := m.awaitConfirmation(ctx, epoch); err != nil {
+	returned, err := m.confirmAndPollOldPrimary(ctx, epoch)
+	if err != nil {
 		return "", err
 	}
+	if returned {
+		if err := m.writeRecord(ctx, lead.NewRecord(lead.Stable, m.oldPrimary, m.oldTerm, m.e.name), false); err != nil {
+			return "", err
+		}
+		return m.oldPrimary, nil
+	}
 	for ctx.Err() == nil {
 		best, err := m.choosePrimary(ctx)
 		if err != nil {
@@ -140,6 +163,40 @@
 	return nil
 }
 
+// confirmAndPollOldPrimary waits like awaitConfirmation, and reports whether the old primary serves again at the end.
+func (m *primaryMove) confirmAndPollOldPrimary(ctx context.Context, epoch uint64) (returned bool, err error) {
+	if !m.mayReturn {
+		return false, m.awaitConfirmation(ctx, epoch)
+	}
+	pollCtx, stop := context.WithCancel(ctx)
+	var lastAnswer atomic.Pointer[time.Time]
+	m.e.background.Go(func() {
+		for pollCtx.Err() == nil {
+			sent := m.e.clock()
+			if m.oldPrimaryServes() {
+				lastAnswer.Store(&sent)
+			}
+			m.e.sleep(pollCtx, oldPrimaryPollInterval)
+		}
+	})
+	began := m.e.clock()
+	err = m.awaitConfirmation(ctx, epoch)
+	stop()
+	now, last := m.e.clock(), lastAnswer.Load()
+	return err == nil && now.Sub(began) >= minReturnWait && last != nil && now.Sub(*last) <= maxReturnAge, err
+}
+
+// oldPrimaryServes reports whether the old primary answers and still leads the term of the record.
+func (m *primaryMove) oldPrimaryServes() bool {
+	for _, s := range m.pg.Members() {
+		if s.ID() == m.oldPrimary && s.Draining() {
+			return false
+		}
+	}
+	status, _, err := m.pg.Status(m.oldPrimary, statusTimeout)
+	return err == nil && status.Primary() && status.Term() == m.oldTerm
+}
+
 // awaitConfirmation waits until every VM has seen epoch or its lease has expired, so that none uses the old primary any more. It
 // lists the leases once and then follows their changes, since the list of a large fleet is long.
 func (m *primaryMove) awaitConfirmation(ctx context.Context, epoch uint64) error {
--- a/lab/rows/rows.go
+++ b/lab/rows/rows.go
@@ -102,6 +102,9 @@
 // Addr returns the IP:port of the store and of the promotion service.
 func (s *Store) Addr() string { return s.addr }
 
+// Clock returns the time on the store's clock.
+func (s *Store) Clock() time.Duration { return time.Since(s.start) }
+
 // Close stops the store.
 func (s *Store) Close() error { return s.server.Close() }
 
@@ -230,7 +233,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	a := response{Rows: rows, Version: version, NowMs: float64(time.Since(s.start).Microseconds()) / 1000}
+	a := response{Rows: rows, Version: version, NowMs: float64(s.Clock().Microseconds()) / 1000}
 	_ = json.NewEncoder(w).Encode(a)
 }
 
