io/every: run functions at regular intervals in one place

Change: every.Interval replaces the eight loops that do nothing else; loops that also wait for other channels stay. A comment of io/relay said that reply answers each kind of call. Measured: ExampleInterval; no behaviour changes. Ruled out: one loop for all intervals of a VM, since a slow function would delay the others.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -22,6 +22,7 @@
 	"verbenagate/core/result"
 	"verbenagate/io/elect"
 	"verbenagate/io/entry"
+	"verbenagate/io/every"
 	"verbenagate/io/link"
 	"verbenagate/io/logs"
 	"verbenagate/io/metric"
@@ -157,34 +158,16 @@
 		cancel()
 		return nil, err
 	}
+	e.background.Go(func() { every.Interval(ctx, trimInterval, e.pools.Trim) })
+	reported := int64(0)
 	e.background.Go(func() {
-		t := time.NewTicker(trimInterval)
-		defer t.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.C:
-				e.pools.Trim()
+		every.Interval(ctx, reportInterval, func() {
+			e.metrics.Gauge(entry.Sessions).Update(float64(e.entry.Sessions()))
+			if n := lines.Dropped(); n > reported {
+				log.Event(event.LinesDropped, zap.Int64("lines", n-reported))
+				reported = n
 			}
-		}
-	})
-	e.background.Go(func() {
-		t := time.NewTicker(reportInterval)
-		defer t.Stop()
-		reported := int64(0)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.C:
-				e.metrics.Gauge(entry.Sessions).Update(float64(e.entry.Sessions()))
-				if n := lines.Dropped(); n > reported {
-					log.Event(event.LinesDropped, zap.Int64("lines", n-reported))
-					reported = n
-				}
-			}
-		}
+		})
 	})
 	return e, nil
 }
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -17,6 +17,7 @@
 	"verbenagate/core/point"
 	"verbenagate/core/port"
 	"verbenagate/core/retry"
+	"verbenagate/io/every"
 	"verbenagate/io/logs"
 	"verbenagate/io/pool"
 	"verbenagate/io/reach"
@@ -159,18 +160,7 @@
 		defer e.mu.Unlock()
 		e.notifyChanged()
 	})
-	e.background.Go(func() {
-		t := time.NewTicker(checkInterval)
-		defer t.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.C:
-				e.checkPrimaries(ctx)
-			}
-		}
-	})
+	e.background.Go(func() { every.Interval(ctx, checkInterval, func() { e.checkPrimaries(ctx) }) })
 	e.background.Go(func() {
 		for ctx.Err() == nil {
 			e.readMembers(ctx)
--- a/io/endpt/once.go
+++ b/io/endpt/once.go
@@ -17,6 +17,7 @@
 	"verbenagate/core/result"
 	"verbenagate/core/stmt"
 	"verbenagate/core/work"
+	"verbenagate/io/every"
 )
 
 const (
@@ -508,17 +509,8 @@
 
 // deleteExpiredPeriodically deletes expired records every expiryInterval.
 func (s *Server) deleteExpiredPeriodically() {
-	t := time.NewTicker(expiryInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-t.C:
-		}
-		// After a failure, the next round deletes the records, on whichever server is the primary then.
-		_ = s.DeleteExpired(s.ctx)
-	}
+	// After a failure, the next round deletes the records, on whichever server is the primary then.
+	every.Interval(s.ctx, expiryInterval, func() { _ = s.DeleteExpired(s.ctx) })
 }
 
 // DeleteExpired deletes the outcome records whose retention has expired. It does nothing unless the server is the
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -16,6 +16,7 @@
 	"verbenagate/core/query"
 	"verbenagate/core/result"
 	"verbenagate/io/elect"
+	"verbenagate/io/every"
 	"verbenagate/io/logs"
 	"verbenagate/io/metric"
 	"verbenagate/io/pool"
@@ -86,21 +87,14 @@
 	}
 	s := &Server{deps: deps, listener: l, sessions: make(map[*session]struct{})}
 	s.background.Go(func() {
-		t := time.NewTicker(isolationCheckInterval)
-		defer t.Stop()
 		wasIsolated := false
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.C:
-			}
+		every.Interval(ctx, isolationCheckInterval, func() {
 			isolated := deps.Elector.Isolated()
 			if isolated && wasIsolated {
 				s.closeIdleOnIsolation()
 			}
 			wasIsolated = isolated
-		}
+		})
 	})
 	s.background.Go(func() {
 		for {
--- /dev/null
+++ b/io/every/every_test.go
@@ -0,0 +1,22 @@
+package every_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"verbenagate/io/every"
+)
+
+func ExampleInterval() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := 0
+	every.Interval(ctx, time.Millisecond, func() {
+		n++
+		if n == 3 {
+			cancel()
+		}
+	})
+	fmt.Println(n >= 3)
+	// Output: true
+}
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -5,9 +5,9 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"verbenagate/core/event"
+	"verbenagate/io/every"
 	"verbenagate/io/metric"
 	"verbenagate/io/parse"
 )
@@ -39,7 +39,8 @@
 			return err
 		}
 	}
-	n.startTask(func(ctx context.Context) { n.sampleMetrics(ctx, &sampler{n: n, parser: parser}) })
+	s := &sampler{n: n, parser: parser}
+	n.startTask(func(ctx context.Context) { every.Interval(ctx, metric.ReportInterval, s.sample) })
 	return nil
 }
 
@@ -50,21 +51,8 @@
 	_ = m.set.Close()
 }
 
-// sampleMetrics updates the metrics in each report interval from values that other packages hold.
-func (n *Node) sampleMetrics(ctx context.Context, s *sampler) {
-	t := time.NewTicker(metric.ReportInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			s.sample()
-		}
-	}
-}
-
-// sampler updates metrics. It keeps the last total of each counter and the gauges that it has set, by name and labels.
+// sampler updates the metrics in each report interval from values that other packages hold. It keeps the last total of each
+// counter and the gauges that it has set, by name and labels.
 type sampler struct {
 	n          *Node
 	parser     *parse.Parser
--- a/io/reach/reach.go
+++ b/io/reach/reach.go
@@ -13,6 +13,7 @@
 
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
+	"verbenagate/io/every"
 	"verbenagate/io/logs"
 )
 
@@ -60,18 +61,7 @@
 	m.mu.Lock()
 	m.onChange = onChange
 	m.mu.Unlock()
-	m.background.Go(func() {
-		t := time.NewTicker(pingInterval)
-		defer t.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.C:
-				m.step(ctx)
-			}
-		}
-	})
+	m.background.Go(func() { every.Interval(ctx, pingInterval, func() { m.step(ctx) }) })
 }
 
 // Wait waits until no ping is under way. Call it when the context passed to Start has ended.
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -83,7 +83,7 @@
 	Wait  time.Duration `cbor:"3,keyasint"`
 }
 
-// reply is the answer to each kind of call.
+// reply is the answer to calls about leases and tables.
 type reply struct {
 	Code     replyCode     `cbor:"2,keyasint"`
 	Message  string        `cbor:"3,keyasint,omitempty"`
--- a/io/remote/owner.go
+++ b/io/remote/owner.go
@@ -13,6 +13,7 @@
 	"verbenagate/core/point"
 	"verbenagate/core/query"
 	"verbenagate/core/result"
+	"verbenagate/io/every"
 	"verbenagate/io/link"
 	"verbenagate/io/logs"
 	"verbenagate/io/pool"
@@ -64,18 +65,7 @@
 		ctx: ctx, pools: pools, elector: elector, clock: clock, log: log, transactions: make(map[*link.Inbound]map[uint64]*transaction),
 	}
 	o.positions = newPositions(pools, elector, caller, clock)
-	o.background.Go(func() {
-		t := time.NewTicker(idleCheckInterval)
-		defer t.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.C:
-				o.checkIdle(ctx)
-			}
-		}
-	})
+	o.background.Go(func() { every.Interval(ctx, idleCheckInterval, func() { o.checkIdle(ctx) }) })
 	return o
 }
 
