--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -11,6 +11,8 @@
 const (
 	// newestWeight is the share of the newest sample in an average. The average follows a change within some ten statements.
 	newestWeight = 0.08
+	// deviationsAboveMean is how many mean deviations a statement is expected to take above the mean at most.
+	deviationsAboveMean = 2
 	// initialHoldTime is the hold time that is assumed until the first one has been measured.
 	initialHoldTime = 20 * time.Millisecond
 )
@@ -18,8 +20,9 @@
 // Gate admits or refuses statements for one server. It averages how long the connections to the server are held and how long
 // the server takes for a statement. The zero value is ready to use. A Gate is not safe for concurrent use.
 type Gate struct {
-	meanHoldTime    time.Duration
-	meanServiceTime time.Duration
+	meanHoldTime     time.Duration
+	meanServiceTime  time.Duration
+	serviceDeviation time.Duration // mean of the differences between service times and their mean
 }
 
 // RecordHoldTime records how long a connection was held for a statement or a transaction.
@@ -29,9 +32,18 @@
 
 // RecordServiceTime records how long the server took for a statement, including the time in the server's own queue.
 func (g *Gate) RecordServiceTime(d time.Duration) {
+	if g.meanServiceTime > 0 {
+		difference := max(d-g.meanServiceTime, g.meanServiceTime-d)
+		g.serviceDeviation += time.Duration(newestWeight * float64(difference-g.serviceDeviation))
+	}
 	g.meanServiceTime = updateAverage(g.meanServiceTime, d)
 }
 
+// ServiceTime returns the time within which the server ends most statements.
+func (g *Gate) ServiceTime() time.Duration {
+	return g.meanServiceTime + deviationsAboveMean*g.serviceDeviation
+}
+
 func updateAverage(mean, sample time.Duration) time.Duration {
 	if mean == 0 {
 		return sample
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -44,6 +44,7 @@
 	preparedCount int
 	releasedAt    time.Time
 	acquiredAt    time.Time // when its current user acquired it or began to open it
+	usefulUntil   time.Time // when the answer to its current user's statement becomes useless
 	forStatus     bool      // opened for a status request
 	broken        bool
 }
@@ -85,10 +86,14 @@
 }
 
 // Run sends a statement that occupies a slot of the server. It first waits until this VM runs fewer statements on the server than
-// is allowed to. Waiting statements with a lower priority number go first. The timeout covers the wait and the statement.
+// is allowed to. The order of waiting statements is that of admit.Queue. The timeout covers the wait and the statement.
 func (c *Conn) Run(timeout time.Duration, priority int, op exec.Operation) (exec.Result, bool, error) {
 	start := c.pool.clock()
-	if !c.pool.acquireSlot(timeout, priority) {
+	usefulUntil := c.usefulUntil
+	if priority < 0 {
+		usefulUntil = start.Add(timeout) // a statement of a transaction
+	}
+	if !c.pool.acquireSlot(timeout, admit.NewRank(priority, usefulUntil)) {
 		return exec.Result{}, false, result.New(result.QueueFull, "timed out waiting for a free slot of server %s", c.Server())
 	}
 	slotAcquired := c.pool.clock()
@@ -164,16 +169,10 @@
 
 // connWaiter is a request that waits for a connection. The channel delivers the connection, or nil if the request may open one
 // itself. It is closed if the pool is closed.
-type connWaiter struct {
-	priority int
-	granted  chan *Conn
-}
+type connWaiter struct{ granted chan *Conn }
 
 // slotWaiter is a statement that waits for a slot. The channel is closed when the slot is granted.
-type slotWaiter struct {
-	priority int
-	granted  chan struct{}
-}
+type slotWaiter struct{ granted chan struct{} }
 
 // Pool holds this VM's connections to one server and limits the statements that run there.
 type Pool struct {
@@ -186,10 +185,10 @@
 	limits           limits
 	open             int
 	idle             []*Conn
-	connWaiters      []*connWaiter
+	connWaiters      admit.Queue[*connWaiter]
 	gate             admit.Gate
 	running          int // statements that occupy a slot of the server
-	slotWaiters      []*slotWaiter
+	slotWaiters      admit.Queue[*slotWaiter]
 	dialBlockedUntil time.Time // until then Acquire opens no connection
 	closed           bool
 	lastDialRefused  bool // the server's machine refused the last dial with ECONNREFUSED
@@ -220,34 +219,45 @@
 // Acquire returns a connection: an idle one, preferably with the session values in request, or a new one if the pool's limit
 // allows, or the next one that is released.
 func (p *Pool) Acquire(request AcquireRequest) (*Conn, error) {
-	deadline := p.clock().Add(request.Timeout)
+	now := p.clock()
+	usefulUntil := now.Add(request.AnswerWithin)
+	c, err := p.acquire(request, now, admit.NewRank(request.Priority, usefulUntil))
+	if err != nil {
+		return nil, err
+	}
+	c.usefulUntil = usefulUntil
+	return c, nil
+}
+
+func (p *Pool) acquire(request AcquireRequest, now time.Time, rank admit.Rank) (*Conn, error) {
+	deadline := now.Add(request.Timeout)
 	p.mu.Lock()
 	switch {
 	case p.closed:
 		p.mu.Unlock()
 		return nil, result.New(result.NoServer, "server %s has been removed or replaced", p.server.ID())
-	case p.limits.shared && !p.gate.AdmitsToSlot(p.slotsAhead(request.Priority), p.limits.maxRunning, request.AnswerWithin):
-		ahead := p.slotsAhead(request.Priority)
+	case p.limits.shared && !p.gate.AdmitsToSlot(p.slotsAhead(now, rank), p.limits.maxRunning, request.AnswerWithin):
+		ahead := p.slotsAhead(now, rank)
 		p.mu.Unlock()
 		return nil, result.New(result.Overloaded, "%d statements are ahead in the queue for a slot of server %s", ahead, p.server.ID())
 	case len(p.idle) > 0:
 		c := p.takeIdle(request.SessionValues)
 		p.mu.Unlock()
 		return c, nil
-	case p.open < p.limits.maxOpen && !p.clock().Before(p.dialBlockedUntil):
+	case p.open < p.limits.maxOpen && !now.Before(p.dialBlockedUntil):
 		p.open++
 		p.mu.Unlock()
-		return p.dial(deadline.Sub(p.clock()))
+		return p.dial(deadline.Sub(now))
 	}
-	w := &connWaiter{priority: request.Priority, granted: make(chan *Conn, 1)}
-	position, _ := slices.BinarySearchFunc(p.connWaiters, request.Priority+1, func(w *connWaiter, n int) int { return w.priority - n })
-	if !p.gate.Admits(position, p.limits.maxOpen, request.AnswerWithin) {
-		wait := p.gate.ExpectedWait(position, p.limits.maxOpen)
+	ahead := p.connWaiters.Ahead(rank, now, p.gate.ServiceTime())
+	if !p.gate.Admits(ahead, p.limits.maxOpen, request.AnswerWithin) {
+		wait := p.gate.ExpectedWait(ahead, p.limits.maxOpen)
 		p.mu.Unlock()
 		return nil, result.New(result.Overloaded, "%d requests are ahead in the queue for server %s; the expected wait is %s",
-			position, p.server.ID(), wait)
+			ahead, p.server.ID(), wait)
 	}
-	p.connWaiters = slices.Insert(p.connWaiters, position, w)
+	w := &connWaiter{granted: make(chan *Conn, 1)}
+	p.connWaiters.Push(w, rank)
 	p.mu.Unlock()
 	return p.waitForConn(w, deadline)
 }
@@ -276,9 +286,8 @@
 
 // slotsAhead returns how many statements run or wait ahead of a new one beyond those that have a slot at once. It is negative if a
 // slot is free. The caller holds mu.
-func (p *Pool) slotsAhead(priority int) int {
-	waiting, _ := slices.BinarySearchFunc(p.slotWaiters, priority+1, func(w *slotWaiter, n int) int { return w.priority - n })
-	return p.running + waiting - p.limits.maxRunning
+func (p *Pool) slotsAhead(now time.Time, rank admit.Rank) int {
+	return p.running + p.slotWaiters.Ahead(rank, now, p.gate.ServiceTime()) - p.limits.maxRunning
 }
 
 func (p *Pool) waitForConn(w *connWaiter, deadline time.Time) (*Conn, error) {
@@ -296,8 +305,7 @@
 	case <-t.C:
 	}
 	p.mu.Lock()
-	if i := slices.Index(p.connWaiters, w); i >= 0 {
-		p.connWaiters = slices.Delete(p.connWaiters, i, i+1)
+	if p.connWaiters.Remove(w) {
 		p.mu.Unlock()
 		return nil, result.New(result.QueueFull, "timed out waiting for a connection to server %s", p.server.ID())
 	}
@@ -392,16 +400,15 @@
 }
 
 // acquireSlot waits until one more statement may run on the server. It returns false if that takes longer than timeout.
-func (p *Pool) acquireSlot(timeout time.Duration, priority int) bool {
+func (p *Pool) acquireSlot(timeout time.Duration, rank admit.Rank) bool {
 	p.mu.Lock()
 	if p.running < p.limits.maxRunning {
 		p.running++
 		p.mu.Unlock()
 		return true
 	}
-	w := &slotWaiter{priority: priority, granted: make(chan struct{})}
-	position, _ := slices.BinarySearchFunc(p.slotWaiters, priority+1, func(w *slotWaiter, n int) int { return w.priority - n })
-	p.slotWaiters = slices.Insert(p.slotWaiters, position, w)
+	w := &slotWaiter{granted: make(chan struct{})}
+	p.slotWaiters.Push(w, rank)
 	p.mu.Unlock()
 	t := time.NewTimer(timeout)
 	defer t.Stop()
@@ -412,11 +419,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if i := slices.Index(p.slotWaiters, w); i >= 0 {
-		p.slotWaiters = slices.Delete(p.slotWaiters, i, i+1)
-		return false
-	}
-	return true // The slot was granted at the moment of the timeout.
+	return !p.slotWaiters.Remove(w) // If it does not wait any more, the slot was granted at the moment of the timeout.
 }
 
 // releaseSlot ends a statement that took serviceTime, and lets the next one run.
@@ -430,22 +433,25 @@
 
 // grantSlots lets waiting statements run while slots are free. The caller holds mu.
 func (p *Pool) grantSlots() {
-	for len(p.slotWaiters) > 0 && p.running < p.limits.maxRunning {
+	for p.running < p.limits.maxRunning {
+		w, ok := p.slotWaiters.Pop(p.clock(), p.gate.ServiceTime())
+		if !ok {
+			return
+		}
 		p.running++
-		close(p.slotWaiters[0].granted)
-		p.slotWaiters = slices.Delete(p.slotWaiters, 0, 1)
+		close(w.granted)
 	}
 }
 
-// letNextWaiterDial lets the first waiting request open a connection if the limit allows. The caller holds mu.
+// letNextWaiterDial lets the next waiting request open a connection if the limit allows. The caller holds mu.
 func (p *Pool) letNextWaiterDial() {
-	if len(p.connWaiters) == 0 || p.open >= p.limits.maxOpen || p.closed {
+	if p.open >= p.limits.maxOpen || p.closed {
 		return
 	}
-	w := p.connWaiters[0]
-	p.connWaiters = slices.Delete(p.connWaiters, 0, 1)
-	p.open++
-	w.granted <- nil
+	if w, ok := p.connWaiters.Pop(p.clock(), p.gate.ServiceTime()); ok {
+		p.open++
+		w.granted <- nil
+	}
 }
 
 func (p *Pool) release(c *Conn) {
@@ -459,9 +465,7 @@
 		_ = c.Close()
 		return
 	}
-	if len(p.connWaiters) > 0 {
-		w := p.connWaiters[0]
-		p.connWaiters = slices.Delete(p.connWaiters, 0, 1)
+	if w, ok := p.connWaiters.Pop(c.releasedAt, p.gate.ServiceTime()); ok {
 		c.acquiredAt = c.releasedAt
 		p.mu.Unlock()
 		w.granted <- c
@@ -518,12 +522,14 @@
 func (p *Pool) close() {
 	p.mu.Lock()
 	p.closed = true
-	waiting := p.connWaiters
-	p.connWaiters = nil
-	p.mu.Unlock()
-	for _, w := range waiting {
+	for {
+		w, ok := p.connWaiters.Pop(p.clock(), 0)
+		if !ok {
+			break
+		}
 		close(w.granted)
 	}
+	p.mu.Unlock()
 	p.dropIdle()
 }
 
@@ -547,8 +553,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return State{
-		Server: p.server.ID(), Limit: p.limits.maxOpen, Open: p.open, Idle: len(p.idle), Waiting: len(p.connWaiters),
-		Running: p.running, MaxRunning: p.limits.maxRunning, Shared: p.limits.shared, Queue: len(p.slotWaiters),
+		Server: p.server.ID(), Limit: p.limits.maxOpen, Open: p.open, Idle: len(p.idle), Waiting: p.connWaiters.Len(),
+		Running: p.running, MaxRunning: p.limits.maxRunning, Shared: p.limits.shared, Queue: p.slotWaiters.Len(),
 	}
 }
 
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -173,14 +173,15 @@
 	_, group := newGroup(t, 1)
 	p, _ := group.Pool("ledger-0")
 	p.setLimits(limits{maxOpen: 1, maxRunning: 1, idle: maxIdleTime})
-	g.Expect(p.acquireSlot(timeout, 1)).To(gomega.BeTrue())
-	g.Expect(p.acquireSlot(time.Millisecond, 0)).To(gomega.BeFalse())
-	order := make(chan int, 2)
+	soon, later := time.Now().Add(timeout), time.Now().Add(2*timeout)
+	g.Expect(p.acquireSlot(timeout, admit.NewRank(1, soon))).To(gomega.BeTrue())
+	g.Expect(p.acquireSlot(time.Millisecond, admit.NewRank(0, soon))).To(gomega.BeFalse())
+	order := make(chan int, 3)
 	var running sync.WaitGroup
-	for n, priority := range []int{2, 1} {
+	for n, rank := range []admit.Rank{admit.NewRank(2, later), admit.NewRank(2, soon), admit.NewRank(1, later)} {
 		running.Go(func() {
-			p.acquireSlot(timeout, priority)
-			order <- priority
+			p.acquireSlot(timeout, rank)
+			order <- n
 			p.releaseSlot(time.Millisecond)
 		})
 		for p.State().Queue <= n {
@@ -188,7 +189,7 @@
 		}
 	}
 	p.releaseSlot(time.Millisecond)
-	g.Expect([]int{<-order, <-order}).To(gomega.Equal([]int{1, 2}))
+	g.Expect([]int{<-order, <-order, <-order}).To(gomega.Equal([]int{2, 1, 0}))
 	running.Wait()
 	g.Expect(p.State().Running).To(gomega.BeZero())
 }
