lab/site: reserve the ports of VMs that are started again

Without links, a VM's replacement listens where the VM did, at ports that the kernel had chosen and that were free while the VM was down. Change: they are reserved with lab/ports until the deployment ends. Ruled out: fixed ports, which other runs take as well.

--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -19,6 +19,7 @@
 	"verbenagate/lab/fault"
 	"verbenagate/lab/load"
 	"verbenagate/lab/plat"
+	"verbenagate/lab/ports"
 	"verbenagate/lab/server"
 )
 
@@ -95,7 +96,8 @@
 	nodes         []*node.Node
 	callerLinks   []*fault.Link // between callers and each VM; empty without Spec.Links
 	settings      []config.Settings
-	stoppedCounts Counts // of VMs that crashed or were stopped
+	reservations  []*ports.Reservation // of the addresses on which VMs listen
+	stoppedCounts Counts               // of VMs that crashed or were stopped
 }
 
 // Counts are totals over all VMs.
@@ -265,7 +267,9 @@
 func (s *Site) StartVM(id, dataCentre string) (*node.Node, error) {
 	cfg := config.Default()
 	cfg.VM = config.VM{ID: id, DataCentre: dataCentre}
-	cfg.Listen = config.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0", Metrics: "127.0.0.1:0"}
+	if err := s.setListen(&cfg); err != nil {
+		return nil, err
+	}
 	cfg.Platform.URL = "http://" + s.platform.Addr()
 	if s.spec.Silence > 0 {
 		cfg.Timing.Silence = s.spec.Silence
@@ -299,6 +303,26 @@
 	return n, nil
 }
 
+// setListen sets the addresses on which a VM listens. Without links, its replacement must get the same ones, so they are reserved.
+func (s *Site) setListen(cfg *config.Settings) error {
+	l := &cfg.Listen
+	for _, a := range []*string{&l.Callers, &l.Peers, &l.Operators, &l.Metrics} {
+		*a = "127.0.0.1:0"
+		if s.spec.Links {
+			continue
+		}
+		r, err := ports.Reserve()
+		if err != nil {
+			return err
+		}
+		s.mu.Lock()
+		s.reservations = append(s.reservations, r)
+		s.mu.Unlock()
+		*a = r.Addr()
+	}
+	return nil
+}
+
 // removeVM removes a VM from the deployment and returns it, or nil if the VM no longer runs.
 func (s *Site) removeVM(i int) *node.Node {
 	s.mu.Lock()
@@ -510,6 +534,9 @@
 	if s.platform != nil {
 		s.platform.Close()
 	}
+	for _, r := range s.reservations {
+		_ = r.Close()
+	}
 }
 
 // Limits returns for each server the highest numbers of connections and running statements, with the limits of both.
