--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -609,18 +609,23 @@
 
 // State describes the elector in a state dump.
 type State struct {
-	Epoch     uint64        `json:"epoch"`
-	CutOff    bool          `json:"apart"` // no VM of another data centre answers
-	LeaseLeft time.Duration `json:"lease_left"`
-	VMs       []string      `json:"vms"`
-	Groups    []GroupState  `json:"groups"`
+	Epoch  uint64 `json:"epoch"`
+	CutOff bool   `json:"apart"` // no VM of another data centre answers
+	// Unreachable are the data centres of which no VM answers.
+	Unreachable []string      `json:"unreachable"`
+	LeaseLeft   time.Duration `json:"lease_left"`
+	VMs         []string      `json:"vms"`
+	Groups      []GroupState  `json:"groups"`
 }
 
 // State returns the elector's current state.
 func (e *Elector) State() State {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := State{Epoch: e.epoch, CutOff: e.paths.CutOff(), LeaseLeft: e.lease.Until().Sub(e.clock())}
+	paths := e.paths.State()
+	s := State{
+		Epoch: e.epoch, CutOff: paths.CutOff, Unreachable: paths.Unreachable, LeaseLeft: e.lease.Until().Sub(e.clock()),
+	}
 	for _, m := range e.members {
 		s.VMs = append(s.VMs, m.Name())
 	}
