--- a/io/reach/reach_test.go
+++ b/io/reach/reach_test.go
@@ -29,7 +29,7 @@
 	changes int
 }
 
-func newNetwork(t *testing.T) *network {
+func newNetwork() *network {
 	n := &network{now: time.Unix(1000, 0), silent: make(map[string]bool)}
 	self := lead.NewMember("self", 0, 0, nil).WithLocation("dc0", "self")
 	n.Monitor = New(self, func(_ context.Context, address string, _ time.Duration) error {
@@ -76,7 +76,7 @@
 // Guards against a data centre that is cut off and that this VM notices only by the failures of its callers' statements, and against
 // one that counts as unreachable for ever.
 func TestDataCentreIsCutOff(t *testing.T) {
-	n := newNetwork(t)
+	n := newNetwork()
 	n.run(t, 3*time.Second)
 	if n.Unreachable("dc2") || n.CutOff() {
 		t.Fatal("unreachable although all pings were answered")
@@ -99,7 +99,7 @@
 // Guards against a cut that is found only when the turn of the data centre's next contact comes: a call that is not answered makes
 // the Monitor ping that data centre at once.
 func TestUnansweredCallIsFollowedUp(t *testing.T) {
-	n := newNetwork(t)
+	n := newNetwork()
 	n.cut(true, 3)
 	n.RecordFailure(n.vm("dc3-0"), n.now)
 	n.run(t, time.Second)
@@ -110,7 +110,7 @@
 
 // Guards against a data centre that counts as unreachable because one of its VMs has failed.
 func TestOneVMFails(t *testing.T) {
-	n := newNetwork(t)
+	n := newNetwork()
 	for range 10 {
 		n.RecordFailure(n.vm("dc1-1"), n.now)
 		n.silent["dc1-1"] = true
@@ -123,7 +123,7 @@
 
 // Guards against a VM that is cut off from all other data centres and does not notice it within a second.
 func TestCutOffFromAll(t *testing.T) {
-	n := newNetwork(t)
+	n := newNetwork()
 	n.run(t, time.Second)
 	n.cut(true, 1, 2, 3)
 	n.run(t, time.Second)
@@ -134,7 +134,7 @@
 
 // Guards against a VM that was suspended and takes itself for cut off, since its calls were not answered meanwhile.
 func TestSuspendedVMIsNotCutOff(t *testing.T) {
-	n := newNetwork(t)
+	n := newNetwork()
 	sent := n.now
 	n.now = n.now.Add(4 * time.Second)
 	for _, vm := range []string{"dc1-0", "dc1-1", "dc2-0"} {
