--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -249,6 +249,24 @@
 	}
 }
 
+// newSpreadGroup returns the group of a VM with the primary s0 and the replicas s1 and s2, one in each of dc0 to dc2. All have the same
+// position, and none of them runs.
+func newSpreadGroup(vm, localDataCentre string) *Group {
+	group := &Group{
+		name: "ledger", vm: vm, localDataCentre: localDataCentre, clock: time.Now, log: nopLogger{}, pools: make(map[string]*Pool),
+	}
+	var members []layout.Server
+	for n := range 3 {
+		members = append(members, layout.NewServer(fmt.Sprint("s", n), "ledger", "", fmt.Sprint("dc", n), 3, false, n == 0, 1))
+	}
+	group.update(members, fixedLimits(1, 1), nil)
+	group.SetLeader("s0", 1)
+	for n := range 3 {
+		group.RecordPosition(fmt.Sprint("s", n), time.Now(), point.New(1, 10), true)
+	}
+	return group
+}
+
 // Guards against VMs in data centres without a replica all reading from the same replica, which is then overloaded while the other
 // one has free slots.
 func TestReadsSpreadOverReplicas(t *testing.T) {
@@ -256,22 +274,7 @@
 	const vms = 91
 	chosen := make(map[string]int)
 	for i := range vms {
-		localDataCentre := fmt.Sprint("dc", i%4)
-		set := NewSet(fmt.Sprint("vm-", i), localDataCentre, platform.NewDialer("vm"), vms, time.Now, nopLogger{})
-		set.Update(new(watch.View))
-		group := &Group{
-			name: "ledger", vm: set.vm, localDataCentre: localDataCentre, clock: time.Now, log: nopLogger{},
-			pools: make(map[string]*Pool),
-		}
-		var members []layout.Server
-		for n := range 3 {
-			members = append(members, layout.NewServer(fmt.Sprint("s", n), "ledger", "", fmt.Sprint("dc", n), 3, false, n == 0, 1))
-		}
-		group.update(members, fixedLimits(1, 1), nil)
-		group.SetLeader("s0", 1)
-		for n := range 3 {
-			group.RecordPosition(fmt.Sprint("s", n), time.Now(), point.New(1, 10), true)
-		}
+		group := newSpreadGroup(fmt.Sprint("vm-", i), fmt.Sprint("dc", i%4))
 		id, ok := group.Choose(route.NewAtLeast(point.New(1, 10)), nil)
 		g.Expect(ok).To(gomega.BeTrue())
 		chosen[id]++
@@ -292,18 +295,8 @@
 func TestReadsAvoidUnreachableDataCentres(t *testing.T) {
 	g := gomega.NewWithT(t)
 	paths := cutPaths{}
-	group := &Group{
-		name: "ledger", vm: "vm", localDataCentre: "dc1", clock: time.Now, log: nopLogger{}, pools: make(map[string]*Pool), paths: paths,
-	}
-	var members []layout.Server
-	for n := range 3 {
-		members = append(members, layout.NewServer(fmt.Sprint("s", n), "ledger", "", fmt.Sprint("dc", n), 3, false, n == 0, 1))
-	}
-	group.update(members, fixedLimits(1, 1), nil)
-	group.SetLeader("s0", 1)
-	for n := range 3 {
-		group.RecordPosition(fmt.Sprint("s", n), time.Now(), point.New(1, 10), true)
-	}
+	group := newSpreadGroup("vm", "dc1")
+	group.paths = paths
 	choose := func(excluded ...string) string {
 		id, _ := group.Choose(route.NewAtLeast(point.New(1, 10)), excluded)
 		return id
