--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,6 +13,7 @@
 
 var cases = map[string]caseFunc{
 	"acknowledged-commit-lost": acknowledgedCommitLost,
+	"line-feed":                lineFeed,
 	"rollback-reset":           rollbackReset,
 }
 
