--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 	"acknowledged-commit-lost": acknowledgedCommitLost,
 	"line-feed":                lineFeed,
 	"rollback-reset":           rollbackReset,
+	"silent-store":             silentStore,
 }
 
 func main() {
