--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 	"line-feed":                lineFeed,
 	"rollback-reset":           rollbackReset,
 	"silent-store":             silentStore,
+	"values-at-commit":         valuesAtCommit,
 }
 
 func main() {
