core/lead: keep acknowledged commits of synchronous groups

Cause: a draining replica was no candidate, so its log was never asked for, and syncReplicas was not read from the configuration. Change: with synchronous replicas a server is promoted only if the answers certainly hold every acknowledged commit (lead.Poll). A draining server that alone has them leads until another has its log, within the same move, and no VM uses it. Servers that have just left count as silent, as their log may return. Also on these paths: replicas that answer no STATUS, and planned changes of primary. Groups without synchronous replicas choose as before. Ruled out: waiting for the successor of the draining server alone; the case has none, and the group would stand still meanwhile.

--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -53,6 +53,7 @@
 	ContactRegained    ID = 713
 	DataCentreLost     ID = 714
 	DataCentreRegained ID = 715
+	PromotionHeld      ID = 716
 	ConfigApplied      ID = 800
 	ConfigOlder        ID = 801
 	ConfigRefused      ID = 802
@@ -118,6 +119,7 @@
 	{ContactRegained, LayerFailover, "VMs of other data centres answer", "None."},
 	{DataCentreLost, LayerFailover, "no VM of a data centre answers", "Check the network to that data centre; reads use servers elsewhere."},
 	{DataCentreRegained, LayerFailover, "VMs of a data centre answer again", "None."},
+	{PromotionHeld, LayerFailover, "promotion waits for a server that may have acknowledged commits", "Start the servers that are missing; after 30 s without them the best of the others is promoted."},
 	{ConfigApplied, LayerConfig, "configuration revision in force", "None."},
 	{ConfigOlder, LayerConfig, "store holds an older configuration", "Find out why the store holds an older state; the VMs keep the newer configuration."},
 	{ConfigRefused, LayerConfig, "configuration change refused", "Correct the errors listed, or base the change on the current revision."},
--- a/core/event/level.go
+++ b/core/event/level.go
@@ -50,6 +50,7 @@
 	PromotionStarted:  LevelWarn,
 	PromotionDone:     LevelWarn,
 	PromotionFailed:   LevelError,
+	PromotionHeld:     LevelWarn,
 	TermReserved:      LevelDebug,
 	ServerGone:        LevelWarn,
 	ServerRefused:     LevelWarn,
--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -81,6 +81,7 @@
 	routes             map[string]Route
 	limits             map[string]int
 	groups             []string // in ascending order
+	syncReplicas       map[string]int
 	maxTransactionIdle time.Duration
 }
 
@@ -96,6 +97,13 @@
 	return c
 }
 
+// WithSyncReplicas returns the configuration with the number of replicas, by group, that must have received a commit before it is
+// acknowledged.
+func (c Config) WithSyncReplicas(byGroup map[string]int) Config {
+	c.syncReplicas = maps.Clone(byGroup)
+	return c
+}
+
 // Version returns the configuration's version, or 0 for the zero Config, which means that none has been received yet.
 func (c Config) Version() uint64 { return c.version }
 
@@ -111,6 +119,10 @@
 // Limit returns the connection limit of each server of a group.
 func (c Config) Limit(group string) int { return c.limits[group] }
 
+// SyncReplicas returns how many replicas of a group must have received a commit before it is acknowledged. With 0, replication is
+// asynchronous, and a promotion may lose the newest commits.
+func (c Config) SyncReplicas(group string) int { return c.syncReplicas[group] }
+
 // Groups returns the names of the groups in ascending order. The caller must not change them.
 func (c Config) Groups() []string { return c.groups }
 
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -48,6 +48,8 @@
 	term    uint64
 	writer  string
 	version uint64
+	// promotedAt is the position of the server when it was promoted, zero if it is unknown or the group does not require it.
+	promotedAt point.Point
 }
 
 // NewRecord returns a record to be written to the table; writer is the VM that writes it.
@@ -61,6 +63,16 @@
 	return r
 }
 
+// WithPromotedAt returns the record with the position that the server had when it was promoted.
+func (r Record) WithPromotedAt(p point.Point) Record {
+	r.promotedAt = p
+	return r
+}
+
+// PromotedAt returns the position that the server had when it was promoted: every commit that was acknowledged earlier is at or
+// below it. It is zero if the position is unknown.
+func (r Record) PromotedAt() point.Point { return r.promotedAt }
+
 // Phase returns the record's phase.
 func (r Record) Phase() Phase { return r.phase }
 
@@ -256,6 +268,7 @@
 	id       string
 	received point.Point
 	primary  bool
+	draining bool
 }
 
 // NewCandidate returns a server that has received the log up to received; primary says whether it already leads.
@@ -263,6 +276,23 @@
 	return Candidate{id: id, received: received, primary: primary}
 }
 
+// WithDraining returns the candidate as a server that is about to stop.
+func (c Candidate) WithDraining(draining bool) Candidate {
+	c.draining = draining
+	return c
+}
+
+// Draining reports whether the server is about to stop, so that it can lead only until another server has its log.
+func (c Candidate) Draining() bool { return c.draining }
+
+// isBehind reports whether the log of o is newer than that of c.
+func (c Candidate) isBehind(o Candidate) bool {
+	if c.received.Term() != o.received.Term() {
+		return c.received.Term() < o.received.Term()
+	}
+	return c.received.Position() < o.received.Position()
+}
+
 // ID returns the server's id.
 func (c Candidate) ID() string { return c.id }
 
@@ -273,18 +303,16 @@
 func (c Candidate) Primary() bool { return c.primary }
 
 // BestCandidate returns the candidate whose promotion loses the fewest commits: the one with the newest position of the newest
-// term, of several the one with the lowest id. It returns false if there are no candidates.
+// term, of several one that is not draining, of several the one with the lowest id. It returns false if there are no candidates.
 func BestCandidate(candidates []Candidate) (Candidate, bool) {
 	if len(candidates) == 0 {
 		return Candidate{}, false
 	}
 	return slices.MaxFunc(candidates, func(a, b Candidate) int {
 		switch {
-		case a.received.Term() != b.received.Term():
-			return compareDistinct(a.received.Term(), b.received.Term())
-		case a.received.Position() != b.received.Position():
-			return compareDistinct(a.received.Position(), b.received.Position())
-		case a.id < b.id:
+		case a.isBehind(b), !b.isBehind(a) && a.draining && !b.draining:
+			return -1
+		case b.isBehind(a), b.draining && !a.draining, a.id < b.id:
 			return 1
 		default:
 			return -1
@@ -292,13 +320,6 @@
 	}), true
 }
 
-func compareDistinct(a, b uint64) int {
-	if a < b {
-		return -1
-	}
-	return 1
-}
-
 // FailureDetector detects from the results of this VM's own requests whether a primary can be reached. It is not safe for
 // concurrent use.
 type FailureDetector struct {
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -21,6 +21,17 @@
 	// Output: b
 }
 
+func ExamplePoll_SafeCandidate() {
+	// Replica a has received the newest commits and is about to stop; b has received none for a while.
+	poll := NewPoll([]Candidate{
+		NewCandidate("a", point.New(3, 1209), false).WithDraining(true), NewCandidate("b", point.New(3, 1100), false),
+	}, 0)
+	_, ok := poll.SafeCandidate(point.Point{}, 1, false)
+	best, _ := poll.SafeCandidate(point.Point{}, 1, true)
+	fmt.Println(ok, best.ID())
+	// Output: false a
+}
+
 func ExamplePendingMembers() {
 	members := []Member{
 		NewMember("confirmed", 7, 20*time.Second, nil), NewMember("silent", 5, 20*time.Second, nil),
@@ -118,6 +129,8 @@
 			case "best":
 				best, ok := BestCandidate(parseCandidates(t, d.Input))
 				return fmt.Sprint(best.ID(), " ", ok)
+			case "safe":
+				return formatSafe(t, d)
 			case "grant":
 				var until, heard string
 				d.ScanArgs(t, "until", &until)
@@ -289,16 +302,50 @@
 	return all
 }
 
-// parseCandidates reads lines "ID TERM POSITION".
+// formatSafe returns the server that is promoted for the answers "ID TERM POSITION [draining]", without and with draining ones.
+// The argument "silent" is how many servers do not answer, "primary" the position of the old primary, "gone" says that the old
+// primary cannot return, and "required" is the position at which it was promoted.
+func formatSafe(t *testing.T, d *datadriven.TestData) string {
+	silent, syncReplicas := 0, 1
+	d.MaybeScanArgs(t, "silent", &silent)
+	d.MaybeScanArgs(t, "sync", &syncReplicas)
+	position := func(key string) (p point.Point, ok bool) {
+		var text string
+		if !d.HasArg(key) {
+			return p, false
+		}
+		d.ScanArgs(t, key, &text)
+		p, err := point.Parse(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p, true
+	}
+	poll := NewPoll(parseCandidates(t, d.Input), silent).WithSilentPrimary(!d.HasArg("gone"))
+	if p, ok := position("primary"); ok {
+		poll = poll.WithPrimary(NewCandidate("old", p, false))
+	}
+	required, _ := position("required")
+	name := func(allowDraining bool) string {
+		if c, ok := poll.SafeCandidate(required, syncReplicas, allowDraining); ok {
+			return c.ID()
+		}
+		return "none"
+	}
+	return name(false) + " " + name(true)
+}
+
+// parseCandidates reads lines "ID TERM POSITION [draining]".
 func parseCandidates(t *testing.T, input string) []Candidate {
 	var all []Candidate
 	for l := range strings.Lines(input) {
+		l, draining := strings.CutSuffix(strings.TrimSpace(l), " draining")
 		var id string
 		var term, position uint64
 		if _, err := fmt.Sscan(l, &id, &term, &position); err != nil {
 			t.Fatal(err)
 		}
-		all = append(all, NewCandidate(id, point.New(term, position), false))
+		all = append(all, NewCandidate(id, point.New(term, position), false).WithDraining(draining))
 	}
 	return all
 }
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -16,6 +16,7 @@
 	"verbenagate/io/edge"
 	"verbenagate/io/elect"
 	"verbenagate/io/entry"
+	"verbenagate/io/pool"
 	"verbenagate/io/watch"
 	"verbenagate/lab/lines"
 	"verbenagate/lab/ports"
@@ -38,6 +39,7 @@
 	version         int
 	promoteRequests []rows.PromoteRequest
 	slots           int                       // of each server
+	syncReplicas    string                    // of the group, in the configuration
 	wrap            func(net.Conn) entry.Conn // of the connections of callers to VMs that start from now on
 }
 
@@ -63,7 +65,7 @@
 func newDeployment(t *testing.T) *deployment {
 	s := &deployment{
 		t: t, vms: make(map[string]*edge.Edge), callers: make(map[string]string), conns: make(map[string]*caller),
-		slots: 3, wrap: func(conn net.Conn) entry.Conn { return platform.NewCallerConn(conn) },
+		slots: 3, syncReplicas: "0", wrap: func(conn net.Conn) entry.Conn { return platform.NewCallerConn(conn) },
 	}
 	var err error
 	if s.group, err = lines.NewGroup("ledger", 3); err != nil {
@@ -113,8 +115,8 @@
 func (s *deployment) writeConfig() {
 	s.version++
 	s.store.Put("op", "config", fmt.Appendf(nil,
-		`{"version":%d,"routes":[%s],"services":[{"name":"ledger","maxConns":40}],"limits":{"txIdleMs":2000}}`,
-		s.version, strings.Join(s.routes, ",")))
+		`{"version":%d,"routes":[%s],"services":[{"name":"ledger","maxConns":40,"syncReplicas":%s}],"limits":{"txIdleMs":2000}}`,
+		s.version, strings.Join(s.routes, ","), s.syncReplicas))
 }
 
 func (s *deployment) waitFor(what string, condition func() bool) {
@@ -207,7 +209,30 @@
 		delete(s.conns, arg(0))
 		return ""
 	case "replicate":
-		s.group.Replicate()
+		if len(d.CmdArgs) > 0 {
+			s.group.ReplicateTo(number(0))
+		} else {
+			s.group.Replicate()
+		}
+		return ""
+	case "sync-replicas":
+		s.syncReplicas = arg(0)
+		s.writeConfig()
+		return ""
+	case "gone":
+		s.waitFor("server "+arg(1)+" is not registered at VM "+arg(0), func() bool {
+			return !slices.ContainsFunc(s.vms[arg(0)].State().Groups, func(g pool.GroupState) bool {
+				return slices.ContainsFunc(g.Pools, func(p pool.State) bool { return p.Server == s.group.Server(number(1)).ID() })
+			})
+		})
+		return ""
+	case "held":
+		s.waitFor("promotion held back at VM "+arg(0), func() bool {
+			return slices.ContainsFunc(s.vms[arg(0)].State().Elector.Groups, func(g elect.GroupState) bool { return g.Held })
+		})
+		return ""
+	case "leads":
+		s.waitFor("server "+arg(0)+" leads", s.group.Server(number(0)).IsLeader)
 		return ""
 	case "stop":
 		s.group.Server(number(0)).Stop()
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -74,6 +74,7 @@
 	backlog          lead.BacklogDetector
 	surveying        bool
 	lastSurvey       time.Time
+	promotionHeld    bool          // see GroupState.Held
 	backlogMoveDue   bool          // the primary is to be replaced because its replicas lag far behind
 	backlogSince     time.Duration // since when, on the store's clock, such a replacement has been intended; 0 if it is not
 }
@@ -604,6 +605,7 @@
 	Writer  string `json:"holder"`
 	Version uint64 `json:"version"`
 	Suspect bool   `json:"suspect"`
+	Held    bool   `json:"held"` // a promotion by this VM waits for a server that may have acknowledged commits
 	Users   int    `json:"users"`
 }
 
@@ -632,7 +634,7 @@
 	for name, g := range e.groups {
 		s.Groups = append(s.Groups, GroupState{
 			Group: name, Server: g.record.Server(), Term: g.record.Term(), Moving: g.record.Phase() == lead.Moving,
-			Writer: g.record.Writer(), Version: g.record.Version(), Suspect: g.suspected, Users: g.activeUses,
+			Writer: g.record.Writer(), Version: g.record.Version(), Suspect: g.suspected, Held: g.promotionHeld, Users: g.activeUses,
 		})
 	}
 	return s
--- a/io/elect/move.go
+++ b/io/elect/move.go
@@ -14,6 +14,7 @@
 
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
+	"verbenagate/core/point"
 	"verbenagate/core/port"
 	"verbenagate/io/pool"
 )
@@ -29,6 +30,8 @@
 	statusTimeout = 400 * time.Millisecond
 	// minStatusRounds is how many times all servers are asked before one is chosen although others reported no position.
 	minStatusRounds = 3
+	// statusRoundDelay is the time between two rounds.
+	statusRoundDelay = 30 * time.Millisecond
 	// catchUpTimeout is how long a replica may take to receive all that a still reachable primary has committed.
 	catchUpTimeout = 1200 * time.Millisecond
 	// oldPrimaryPollInterval is how often a primary that was unreachable is asked again while VMs confirm that it is being replaced.
@@ -57,9 +60,11 @@
 		zap.Bool("keep", keepPrimary))
 	m := &primaryMove{
 		e: e, pg: pg, group: group, record: old, oldPrimary: old.Server(), oldTerm: old.Term(), keepPrimary: keepPrimary,
-		mayReturn: old.Phase() == lead.Stable && !keepPrimary && e.isSuspected(group),
+		mayReturn:  old.Phase() == lead.Stable && !keepPrimary && e.isSuspected(group),
+		promotedAt: old.PromotedAt(),
 	}
 	server, err := m.run(ctx)
+	e.setPromotionHeld(group, false)
 	if err != nil {
 		e.log.Event(event.PromotionFailed, zap.String("group", group), zap.Error(err))
 		_ = e.reloadRecords(ctx) // A failed call may have taken effect; if the reload fails, the follower reads the record.
@@ -72,6 +77,16 @@
 		zap.Duration("took", e.clock().Sub(began)))
 }
 
+// setPromotionHeld records whether a promotion of the group waits for a missing server, and reports whether that is a change.
+func (e *Elector) setPromotionHeld(group string, held bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g := e.group(group)
+	changed := g.promotionHeld != held
+	g.promotionHeld = held
+	return changed
+}
+
 // primaryMove is the replacement of one group's primary in progress.
 type primaryMove struct {
 	e                *Elector
@@ -83,12 +98,23 @@
 	mayReturn        bool // the old primary was unreachable, and no promotion can have been ordered yet
 	promotionOrdered bool // a promotion has been ordered and may take effect late
 	record           lead.Record
-	recordWritten    time.Time // when the request that last wrote the record was sent
+	recordWritten    time.Time   // when the request that last wrote the record was sent
+	promotedAt       point.Point // see lead.Record; of oldPrimary until another server leads
+	positions        string      // those that were logged last
+	handedOver       bool        // oldPrimary is a draining server that this move has promoted
+}
+
+// newRecord returns a record to be written, with the position that a promoted server must have.
+func (m *primaryMove) newRecord(phase lead.Phase, server string, term uint64) lead.Record {
+	return lead.NewRecord(phase, server, term, m.e.name).WithPromotedAt(m.promotedAt)
 }
 
+// syncReplicas returns how many replicas must have received a commit of the group before it is acknowledged.
+func (m *primaryMove) syncReplicas() int { return m.e.view().Config().SyncReplicas(m.group) }
+
 // run carries out the move and returns the id of the primary in the new stable record.
 func (m *primaryMove) run(ctx context.Context) (string, error) {
-	if err := m.writeRecord(ctx, lead.NewRecord(lead.Moving, m.oldPrimary, m.record.Term(), m.e.name), true); err != nil {
+	if err := m.writeRecord(ctx, m.newRecord(lead.Moving, m.oldPrimary, m.record.Term()), true); err != nil {
 		return "", err
 	}
 	epoch := m.record.Version()
@@ -97,7 +123,7 @@
 		return "", err
 	}
 	if returned {
-		if err := m.writeRecord(ctx, lead.NewRecord(lead.Stable, m.oldPrimary, m.oldTerm, m.e.name), false); err != nil {
+		if err := m.writeRecord(ctx, m.newRecord(lead.Stable, m.oldPrimary, m.oldTerm), false); err != nil {
 			return "", err
 		}
 		return m.oldPrimary, nil
@@ -109,7 +135,7 @@
 		}
 		isOldPrimary := best.ID() == m.oldPrimary
 		if !best.Primary() {
-			if err := m.writeRecord(ctx, lead.NewRecord(lead.Moving, m.oldPrimary, m.record.Term(), m.e.name), false); err != nil {
+			if err := m.writeRecord(ctx, m.newRecord(lead.Moving, m.oldPrimary, m.record.Term()), false); err != nil {
 				return "", err
 			}
 			if !lead.MayOrderPromotion(m.e.clock(), m.recordWritten) {
@@ -122,16 +148,45 @@
 			}
 		}
 		if term, ok := m.awaitLeadership(ctx, best.ID(), isOldPrimary); ok {
-			if err := m.writeRecord(ctx, lead.NewRecord(lead.Stable, best.ID(), term, m.e.name), false); err != nil {
+			if !isOldPrimary {
+				m.recordPromotion(best)
+			}
+			if best.Draining() {
+				if err := m.handOver(ctx, best.ID(), term); err != nil {
+					return "", err
+				}
+				continue
+			}
+			if err := m.writeRecord(ctx, m.newRecord(lead.Stable, best.ID(), term), false); err != nil {
 				return "", err
 			}
-			m.demoteOldPrimary(term)
+			m.demoteOldPrimary(m.oldPrimary, term)
 			return best.ID(), nil
 		}
 	}
 	return "", ctx.Err()
 }
 
+// recordPromotion records the position at which a server has been promoted, if later promotions must not fall behind it.
+func (m *primaryMove) recordPromotion(c lead.Candidate) {
+	m.promotedAt = point.Point{}
+	if m.syncReplicas() > 0 {
+		m.promotedAt = c.Received()
+	}
+}
+
+// handOver continues the move with a draining server as the primary to be replaced. It alone had all acknowledged commits, so it
+// had to lead, and the other servers now receive its log. VMs do not use it, since it stops soon.
+func (m *primaryMove) handOver(ctx context.Context, server string, term uint64) error {
+	if err := m.writeRecord(ctx, m.newRecord(lead.Moving, server, term), false); err != nil {
+		return err
+	}
+	replaced := m.oldPrimary
+	m.e.background.Go(func() { m.demoteOldPrimary(replaced, term) })
+	m.oldPrimary, m.oldTerm, m.keepPrimary, m.handedOver = server, term, false, true
+	return nil
+}
+
 // writeRecord replaces the group's record. With changeEpoch it also changes the epoch, so that the VMs have to confirm the
 // record. It returns errTakenOver if another VM has written the record or, with changeEpoch, the epoch.
 func (m *primaryMove) writeRecord(ctx context.Context, r lead.Record, changeEpoch bool) error {
@@ -235,7 +290,7 @@
 			}
 		}
 		if sent.Sub(m.recordWritten) > recordRefreshInterval {
-			r := lead.NewRecord(lead.Moving, m.oldPrimary, m.record.Term(), m.e.name)
+			r := m.newRecord(lead.Moving, m.oldPrimary, m.record.Term())
 			if err := m.writeRecord(ctx, r, false); errors.Is(err, errTakenOver) {
 				return err
 			}
@@ -246,50 +301,74 @@
 }
 
 // choosePrimary returns the server whose promotion loses the fewest commits, or a server that already leads a newer term. It
-// returns the old primary if that still serves and no other server may replace it.
+// returns the old primary if that still serves and no other server may replace it. If the group replicates synchronously, it waits
+// for a server that has all acknowledged commits. A draining server is returned only if it alone has them.
 func (m *primaryMove) choosePrimary(ctx context.Context) (lead.Candidate, error) {
 	began := m.e.clock()
-	suspected := m.e.isSuspected(m.group)
+	suspected := m.e.isSuspected(m.group) && !m.handedOver
 	for try := 1; ctx.Err() == nil; try++ {
-		candidates, old, promotable := m.pollServers(!suspected || m.e.clock().Sub(began) > catchUpTimeout)
+		syncReplicas := m.syncReplicas()
+		poll, promotable := m.pollServers(!suspected || m.e.clock().Sub(began) > catchUpTimeout, syncReplicas > 0)
 		catchUpOver := m.e.clock().Sub(began) > catchUpTimeout
-		if (len(candidates) == 0 || m.keepPrimary) && !m.promotionOrdered && old.Primary() && catchUpOver {
+		old := poll.Primary()
+		best, ok := poll.SafeCandidate(m.promotedAt, syncReplicas, false)
+		if (!ok || m.keepPrimary) && !m.promotionOrdered && old.Primary() && catchUpOver {
 			return old, nil // The old primary serves, and no other server may replace it.
 		}
-		for _, c := range candidates {
+		for _, c := range poll.Candidates() {
 			if c.Primary() {
 				return c, nil
 			}
 		}
-		best, ok := lead.BestCandidate(candidates)
 		caughtUp := best.Received().Covers(old.Received()) && (!m.keepPrimary || old.Primary())
-		if ok && (len(candidates) == promotable || try >= minStatusRounds) && (caughtUp || catchUpOver) {
+		if ok && (len(poll.Candidates()) == promotable || try >= minStatusRounds) && (caughtUp || catchUpOver) {
 			return best, nil
 		}
+		if !ok && !poll.PrimaryAnswered() && try >= minStatusRounds {
+			if c, found := poll.SafeCandidate(m.promotedAt, syncReplicas, true); found {
+				return c, nil
+			}
+			m.logHeld(poll)
+		}
 		if m.e.clock().Sub(m.recordWritten) > recordRefreshInterval {
-			if err := m.writeRecord(ctx, lead.NewRecord(lead.Moving, m.oldPrimary, m.record.Term(), m.e.name), false); err != nil {
+			if err := m.writeRecord(ctx, m.newRecord(lead.Moving, m.oldPrimary, m.record.Term()), false); err != nil {
 				return lead.Candidate{}, err
 			}
 		}
-		m.e.sleep(ctx, 30*time.Millisecond)
+		m.e.sleep(ctx, statusRoundDelay)
 	}
 	return lead.Candidate{}, ctx.Err()
 }
 
-// pollServers requests the status of all servers and returns those that can be promoted and answered. The old primary is asked
-// only with includeOld, because a request to a crashed server lasts until its timeout. Promotable is the number of servers that
-// can be promoted, including those that did not answer.
-func (m *primaryMove) pollServers(includeOld bool) (candidates []lead.Candidate, old lead.Candidate, promotable int) {
+// logHeld logs once that servers answer, but none of them certainly has all acknowledged commits.
+func (m *primaryMove) logHeld(poll lead.Poll) {
+	if len(poll.Candidates()) == 0 || !m.e.setPromotionHeld(m.group, true) {
+		return
+	}
+	m.e.log.Event(event.PromotionHeld, zap.String("group", m.group), zap.String("positions", m.positions),
+		zap.String("required", m.promotedAt.String()), zap.Int("missing", poll.Silent()))
+}
+
+// pollServers requests the status of all servers. The candidates of the poll are the servers that can be promoted and answered,
+// draining ones only with includeDraining. The old primary is asked only with includeOld, because a request to a crashed server
+// lasts until its timeout. Promotable is the number of servers that can be promoted, including those that did not answer.
+func (m *primaryMove) pollServers(includeOld, includeDraining bool) (poll lead.Poll, promotable int) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var positions []string
+	var candidates []lead.Candidate
+	var old lead.Candidate
+	oldAnswered, oldMayReturn := false, false
 	for _, s := range m.pg.Members() {
-		canBePromoted := s.ID() != m.oldPrimary && !s.Draining()
+		canBePromoted := s.ID() != m.oldPrimary && (includeDraining || !s.Draining())
 		if canBePromoted {
 			promotable++
 		}
-		if s.ID() == m.oldPrimary && !includeOld {
-			continue
+		if s.ID() == m.oldPrimary {
+			oldMayReturn = true
+			if !includeOld {
+				continue
+			}
 		}
 		wg.Add(1)
 		go func() {
@@ -302,18 +381,36 @@
 				return
 			}
 			positions = append(positions, s.ID()+": "+status.Received().String())
-			if canBePromoted {
+			switch {
+			case canBePromoted:
 				leadsNewerTerm := status.Primary() && lead.LeadsNewerTerm(status.Term(), m.record)
-				candidates = append(candidates, lead.NewCandidate(s.ID(), status.Received(), leadsNewerTerm))
-			} else if s.ID() == m.oldPrimary {
+				candidates = append(candidates, lead.NewCandidate(s.ID(), status.Received(), leadsNewerTerm).WithDraining(s.Draining()))
+			case s.ID() == m.oldPrimary:
 				old = lead.NewCandidate(s.ID(), status.Received(), status.Primary() && !s.Draining())
+				oldAnswered = status.Term() >= m.oldTerm
+				oldMayReturn = oldAnswered // A server of an older term has been started again without its log.
 			}
 		}()
 	}
 	wg.Wait()
+	left := 0
+	for _, id := range m.pg.Departed() {
+		if id == m.oldPrimary {
+			oldMayReturn = true
+		} else {
+			left++
+		}
+	}
 	slices.Sort(positions)
-	m.e.log.Event(event.LeadersKnown, zap.String("group", m.group), zap.String("servers", strings.Join(positions, ", ")))
-	return candidates, old, promotable
+	if text := strings.Join(positions, ", "); text != m.positions {
+		m.positions = text
+		m.e.log.Event(event.LeadersKnown, zap.String("group", m.group), zap.String("servers", text), zap.Int("left", left))
+	}
+	poll = lead.NewPoll(candidates, promotable-len(candidates)+left)
+	if oldAnswered {
+		return poll.WithPrimary(old), promotable
+	}
+	return poll.WithSilentPrimary(oldMayReturn), promotable
 }
 
 // awaitLeadership waits for at most promotionTimeout until a server leads, and returns its term. The term must be newer than that
@@ -329,14 +426,14 @@
 		if _, known := m.pg.Pool(id); !known {
 			return 0, false
 		}
-		m.e.sleep(ctx, 30*time.Millisecond)
+		m.e.sleep(ctx, statusRoundDelay)
 	}
 	return 0, false
 }
 
-// demoteOldPrimary makes the old primary a replica. A failure is harmless, because no VM uses that server as a primary any more.
-func (m *primaryMove) demoteOldPrimary(term uint64) {
-	if err := m.pg.Demote(m.oldPrimary, term, statusTimeout); err != nil {
-		m.e.log.Event(event.EndptDown, zap.String("server", m.oldPrimary), zap.Error(err))
+// demoteOldPrimary makes a replaced primary a replica. A failure is harmless, because no VM uses that server as a primary any more.
+func (m *primaryMove) demoteOldPrimary(server string, term uint64) {
+	if err := m.pg.Demote(server, term, statusTimeout); err != nil {
+		m.e.log.Event(event.EndptDown, zap.String("server", server), zap.Error(err))
 	}
 }
--- a/io/elect/records.go
+++ b/io/elect/records.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenagate/core/lead"
+	"verbenagate/core/point"
 	"verbenagate/core/port"
 	"verbenagate/core/result"
 )
@@ -18,12 +19,15 @@
 	groupPrefix = "group/"
 )
 
-// groupRow is the stored form of a lead.Record.
+// groupRow is the stored form of a lead.Record. PromotedTerm and PromotedNumber are the log position at which the server was
+// promoted.
 type groupRow struct {
-	Moving bool   `json:"moving,omitempty"`
-	Server string `json:"server"`
-	Term   uint64 `json:"term"`
-	Writer string `json:"holder"`
+	Moving         bool   `json:"moving,omitempty"`
+	Server         string `json:"server"`
+	Term           uint64 `json:"term"`
+	Writer         string `json:"holder"`
+	PromotedTerm   uint64 `json:"promoted_term,omitempty"`
+	PromotedNumber uint64 `json:"promoted_number,omitempty"`
 }
 
 // memberRow is the stored form of the leases that one VM has requested.
@@ -45,6 +49,7 @@
 func encodeRecord(group string, r lead.Record) (port.Row, error) {
 	value, err := json.Marshal(groupRow{
 		Moving: r.Phase() == lead.Moving, Server: r.Server(), Term: r.Term(), Writer: r.Writer(),
+		PromotedTerm: r.PromotedAt().Term(), PromotedNumber: r.PromotedAt().Position(),
 	})
 	return port.Row{Table: leadTable, Key: groupPrefix + group, Value: value}, err
 }
@@ -63,7 +68,8 @@
 	if g.Moving {
 		phase = lead.Moving
 	}
-	return group, lead.NewRecord(phase, g.Server, g.Term, g.Writer).WithVersion(row.Version), true, nil
+	r = lead.NewRecord(phase, g.Server, g.Term, g.Writer).WithPromotedAt(point.New(g.PromotedTerm, g.PromotedNumber))
+	return group, r.WithVersion(row.Version), true, nil
 }
 
 // encodeMembers returns the row of a VM with the leases that it has requested.
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -50,6 +50,7 @@
 	owners        map[string][]lead.Member // by server; empty if each VM uses connections of its own
 	forwarder     Forwarder
 	paths         Paths
+	departures    map[string]departure // by id of a server that is not registered any more
 }
 
 // Paths tells which data centres this VM cannot reach.
@@ -97,8 +98,10 @@
 		if !present[id] {
 			p.close()
 			delete(g.pools, id)
+			g.recordDeparture(p.server)
 		}
 	}
+	g.endDepartures(members)
 	g.owners = owners
 	if !unchanged {
 		g.members = append([]layout.Server(nil), members...)
@@ -218,6 +221,7 @@
 			g.history.Observe(requestedAt, p)
 		}
 	}
+	g.verifyDepartures(id, requestedAt, p, isPrimary)
 	for _, s := range g.members {
 		if s.ID() == id {
 			info.Leaving = s.Draining()
@@ -434,6 +438,7 @@
 		for _, m := range g.members {
 			if p, ok := g.pools[m.ID()]; ok {
 				ps := p.State()
+				ps.Draining = m.Draining()
 				for _, o := range g.owners[m.ID()] {
 					ps.Owners = append(ps.Owners, o.Name())
 				}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -542,8 +542,9 @@
 	Waiting    int    `json:"waiting"` // requests that wait for a connection
 	Running    int    `json:"running"`
 	MaxRunning int    `json:"most_running"`
-	Shared     bool   `json:"shared"` // this VM holds the connections for other VMs, too
-	Queue      int    `json:"queue"`  // statements that wait for a slot
+	Draining   bool   `json:"draining"` // the server accepts no new work
+	Shared     bool   `json:"shared"`   // this VM holds the connections for other VMs, too
+	Queue      int    `json:"queue"`    // statements that wait for a slot
 	// Owners are the VMs that may hold the connections for other VMs, the owner first; empty if there are none.
 	Owners []string `json:"owners,omitempty"`
 }
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"verbenagate/core/event"
 	"verbenagate/core/exec"
 	"verbenagate/core/layout"
+	"verbenagate/core/lead"
 	"verbenagate/core/point"
 	"verbenagate/core/query"
 	"verbenagate/core/result"
@@ -308,3 +310,49 @@
 	paths["dc0"], paths["dc2"] = true, true
 	g.Expect(choose()).NotTo(gomega.BeEmpty())
 }
+
+// Guards against a promotion without a server that has just left and whose log is about to return, and against waiting for such a
+// server longer than needed.
+func TestDepartures(t *testing.T) {
+	members := func(ids ...string) []layout.Server {
+		var all []layout.Server
+		for _, id := range ids {
+			all = append(all, layout.NewServer(id, "ledger", "address-"+id[:1], "dc0", 3, false, false, 1))
+		}
+		return all
+	}
+	for name, c := range map[string]struct {
+		after func(group *Group, now *time.Time)
+		want  []string
+	}{
+		"left":      {func(*Group, *time.Time) {}, []string{"b1"}},
+		"returned":  {func(g *Group, _ *time.Time) { g.update(members("a1", "b1", "c1"), fixedLimits(1, 1), nil) }, nil},
+		"successor": {func(g *Group, _ *time.Time) { g.update(members("a1", "b2", "c1"), fixedLimits(1, 1), nil) }, nil},
+		"long ago":  {func(_ *Group, now *time.Time) { *now = now.Add(lead.LogReturnTimeout) }, nil},
+		"replica has all that was acknowledged before": {func(g *Group, now *time.Time) {
+			g.RecordPosition("a1", now.Add(time.Second), point.New(1, 7), true)
+			g.RecordPosition("c1", now.Add(time.Second), point.New(1, 7), false)
+		}, nil},
+		"replica lags": {func(g *Group, now *time.Time) {
+			g.RecordPosition("a1", now.Add(time.Second), point.New(1, 7), true)
+			g.RecordPosition("c1", now.Add(time.Second), point.New(1, 6), false)
+		}, []string{"b1"}},
+		"position of the primary is older": {func(g *Group, now *time.Time) {
+			g.RecordPosition("a1", now.Add(-time.Second), point.New(1, 7), true)
+			g.RecordPosition("c1", now.Add(time.Second), point.New(1, 7), false)
+		}, []string{"b1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			_, group := newGroup(t, 1)
+			now := time.Unix(1000, 0)
+			group.clock = func() time.Time { return now }
+			group.update(members("a1", "b1", "c1"), fixedLimits(1, 1), nil)
+			group.SetLeader("a1", 1)
+			group.update(members("a1", "c1"), fixedLimits(1, 1), nil)
+			c.after(group, &now)
+			g.Expect(group.Departed()).NotTo(gomega.ContainElement("a1"))
+			g.Expect(slices.Contains(group.Departed(), "b1")).To(gomega.Equal(len(c.want) > 0))
+		})
+	}
+}
--- a/lab/lines/lines.go
+++ b/lab/lines/lines.go
@@ -102,6 +102,15 @@
 	}
 }
 
+// ReplicateTo copies the leader's log and term to the server with index n only.
+func (g *Group) ReplicateTo(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if leader, s := g.leader(), g.servers[n]; leader != nil && s != leader && !s.isLeader {
+		s.log, s.term = append([]logEntry(nil), leader.log...), leader.term
+	}
+}
+
 // leader returns the leader of the newest term. The caller holds mu.
 func (g *Group) leader() *Server {
 	var leader *Server
