--- a/core/port/rows.go
+++ b/core/port/rows.go
@@ -37,8 +37,8 @@
 type RowReader interface {
 	// List returns all rows of a table as of one moment.
 	List(ctx context.Context, table string) (Snapshot, error)
-	// Changes waits up to wait for changes that are newer than the version after. It returns ErrHistoryGone if the store
-	// no longer holds them.
+	// Changes waits up to wait for changes that are newer than the version after. It may return earlier, without rows. It
+	// returns ErrHistoryGone if the store no longer holds the changes.
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Snapshot, error)
 }
 
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -260,7 +260,9 @@
 		s.store.Remove("servers", s.group.Server(number(0)).ID())
 		return ""
 	case "store":
-		s.store.SetFault(map[string]rows.Fault{"up": rows.FaultNone, "down": rows.FaultDown, "lost": rows.FaultReplyLost}[arg(0)])
+		s.store.SetFault(map[string]rows.Fault{
+			"up": rows.FaultNone, "down": rows.FaultDown, "lost": rows.FaultReplyLost, "silent": rows.FaultSilent,
+		}[arg(0)])
 		return ""
 	case "drop-history":
 		s.store.DropHistory()
@@ -455,3 +457,40 @@
 		}
 	}
 }
+
+// Guards against a VM that notices only after 22 s that the store's answer to a call that waits for changes was lost. It then keeps
+// an old configuration, and sends work to servers that drain. The bound is the time until a VM counts as undisturbed again, 4 s,
+// and that in which a configuration must be in force, 3 s.
+func TestLostAnswerToCallForChanges(t *testing.T) {
+	const bound = 7 * time.Second
+	s := newDeployment(t)
+	defer s.close()
+	s.startVM("a")
+	s.startVM("b")
+	time.Sleep(500 * time.Millisecond) // The calls for changes are under way.
+	s.store.SetFault(rows.FaultSilent)
+	time.Sleep(500 * time.Millisecond)
+	s.store.SetFault(rows.FaultNone)
+	recovered := time.Now()
+	s.writeConfig()
+	s.register(1, "draining")
+	for name, vm := range s.vms {
+		s.waitFor("new configuration in force at VM "+name, func() bool { return vm.State().Config == uint64(s.version) })
+		s.waitFor("server known to be draining at VM "+name, func() bool { return isDraining(vm, s.group.Server(1).ID()) })
+	}
+	if took := time.Since(recovered); took > bound {
+		t.Errorf("the VMs noticed the changes after %s, bound %s", took, bound)
+	}
+}
+
+// isDraining reports whether a server drains according to vm.
+func isDraining(vm *edge.Edge, server string) bool {
+	for _, g := range vm.State().Groups {
+		for _, p := range g.Pools {
+			if p.Server == server {
+				return p.Draining
+			}
+		}
+	}
+	return false
+}
--- a/io/watch/follow.go
+++ b/io/watch/follow.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// longPollWait is how long the store may hold a call that waits for changes. It is long because each call costs money, and
-	// because a dead connection is detected separately.
+	// longPollWait is how long a call to an agent may wait for changes. Each call costs traffic, and a dead connection to an agent
+	// is detected separately. The store itself is asked more often, since a lost answer of it shows only by a time limit.
 	longPollWait = 20 * time.Second
 	// minRetryDelay and maxRetryDelay bound the backoff after failed calls.
 	minRetryDelay = 50 * time.Millisecond
--- a/lab/rows/rows.go
+++ b/lab/rows/rows.go
@@ -1,5 +1,5 @@
 // Package rows simulates the store of the users' platform and the platform's promotion service, over HTTP. The store can be
-// unavailable, refuse requests, lose responses after a change took effect, delay changes, and drop its history.
+// unavailable or silent, refuse requests, lose responses after a change took effect, delay changes, and drop its history.
 package rows
 
 import (
@@ -27,6 +27,8 @@
 	// FaultDelayed aborts the connection of a change without a response. The next call of ApplyDelayed applies the change, if its
 	// conditions still hold.
 	FaultDelayed
+	// FaultSilent answers no call. Calls that wait for changes at its start are lost too, also after its end.
+	FaultSilent
 )
 
 // PromoteRequest is a request to the platform to promote a server. Holder is the VM that sent it and Token its fencing token.
@@ -215,18 +217,29 @@
 	return 0
 }
 
-// admit counts a request and reports whether it may go on. It refuses the request while the fault is FaultDown.
+// admit counts a request and reports whether it may go on. It refuses the request while the fault is FaultDown, and does not answer
+// it if the fault is FaultSilent.
 func (s *Store) admit(w http.ResponseWriter, r *http.Request) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.calls[r.URL.Path]++
-	if s.fault == FaultDown {
+	fault := s.fault
+	s.mu.Unlock()
+	switch fault {
+	case FaultDown:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return false
+	case FaultSilent:
+		loseReply(r)
 	}
 	return true
 }
 
+// loseReply waits until the client gives the call up, and ends the connection without a response.
+func loseReply(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 func (s *Store) reply(w http.ResponseWriter, status int, rows []row, version uint64) {
 	if rows == nil {
 		rows = []row{}
@@ -281,6 +294,8 @@
 		case fault == FaultDown:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
+		case fault == FaultSilent:
+			loseReply(r)
 		case dropped:
 			w.WriteHeader(http.StatusGone)
 			return
