io/entry: give the connection the session's values before COMMIT

Cause: SET is kept by the VM until the next statement, and commit sent its statement without SetSessionValues. Change: commit sets the values first; if that fails the COMMIT was not sent, and the caller is told that the transaction was rolled back. Reads, writes, EXEC and BEGIN were correct.

--- a/io/edge/owners_test.go
+++ b/io/edge/owners_test.go
@@ -101,14 +101,18 @@
 e-%[1]s EXEC s %[1]s
 - BEGIN READ
 t READ %[1]s
-- COMMIT`, name))
+- SET author %[1]s
+c-%[1]s COMMIT`, name))
 		want := "DONE -, I\nDONE -, I\nDONE ledger-0.signed, I\nROW one, DONE ledger-0.signed, I\nROW one, DONE ledger-0.signed, I\n" +
-			"DONE -, T\nROW one, DONE ledger-0.signed, T\nDONE ledger-0.signed, I\n"
+			"DONE -, T\nROW one, DONE ledger-0.signed, T\nDONE -, T\nDONE ledger-0.signed, I\n"
 		if got != want {
 			t.Errorf("session at VM %s: %s", name, got)
 		}
 		if got, want := s.sessionStates("e-"+name), fmt.Sprintf("ledger-0 values=\"tone=%s\" shape=\"READ q1\"\n", name); got != want {
 			t.Errorf("execution at VM %s: got %s, want %s", name, got, want)
 		}
+		if got := s.sessionStates("c-" + name); !strings.Contains(got, "author="+name) {
+			t.Errorf("the commit at VM %s ran without the value set before it: %s", name, got)
+		}
 	}
 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -530,6 +530,11 @@
 			a.code, a.message = result.RolledBack, "the primary is being replaced"
 			break
 		}
+		// Values may have been set after the transaction's last statement.
+		if err := ss.tx.conn.SetSessionValues(deadline.Sub(ss.entry.deps.Clock()), ss.values); err != nil {
+			a.code, a.message = result.RolledBack, err.Error()
+			break
+		}
 		requestedAt := ss.entry.deps.Clock()
 		res, sent, err := ss.tx.conn.Run(deadline.Sub(requestedAt), ss.queuePriority(ss.tx.route.Priority()),
 			exec.NewRun(id, st.Text(), point.Point{}))
