--- a/lab/fault/fault.go
+++ b/lab/fault/fault.go
@@ -46,6 +46,8 @@
 	directions [2]directionState
 	conns      map[*net.TCPConn]bool
 	opened     int
+	silent     bool
+	silenced   map[*net.TCPConn]bool // open connections that deliver nothing more
 }
 
 // directionState holds the faults of one direction.
@@ -59,7 +61,10 @@
 // New starts a link to target (host:port). The link listens on a free port of 127.0.0.1.
 func New(target string) (*Link, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &Link{target: target, addr: "127.0.0.1:0", ctx: ctx, cancel: cancel, changed: make(chan struct{}), conns: map[*net.TCPConn]bool{}}
+	l := &Link{
+		target: target, addr: "127.0.0.1:0", ctx: ctx, cancel: cancel, changed: make(chan struct{}), conns: map[*net.TCPConn]bool{},
+		silenced: map[*net.TCPConn]bool{},
+	}
 	if err := l.listen(); err != nil {
 		cancel()
 		return nil, err
@@ -149,6 +154,26 @@
 	})
 }
 
+// Silence makes the link accept and acknowledge all bytes without delivering them. The connections that are open at its start or opened
+// meanwhile deliver nothing after its end either, while new ones work.
+func (l *Link) Silence(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = on
+	if on {
+		for c := range l.conns {
+			l.silenced[c] = true
+		}
+	}
+}
+
+// isSilenced reports whether a connection delivers nothing more.
+func (l *Link) isSilenced(c *net.TCPConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silenced[c]
+}
+
 // Refuse closes the listener or opens it again. Open connections continue.
 func (l *Link) Refuse(on bool) error {
 	l.mu.Lock()
@@ -186,6 +211,9 @@
 		return false
 	}
 	l.conns[c] = true
+	if l.silent {
+		l.silenced[c] = true
+	}
 	return true
 }
 
@@ -194,6 +222,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, c)
+	delete(l.silenced, c)
 }
 
 func (l *Link) serve(client *net.TCPConn) {
@@ -330,6 +359,9 @@
 		if err := l.waitWhileCut(d); err != nil {
 			return err
 		}
+		if l.isSilenced(to) {
+			continue
+		}
 		if p.body == nil {
 			return to.CloseWrite()
 		}
--- a/lab/fault/fault_test.go
+++ b/lab/fault/fault_test.go
@@ -125,6 +125,30 @@
 	g.Expect(l.Opened()).To(Equal(1))
 }
 
+// Guards against a silent link that delivers the bytes after its end, ends its connections, or leaves new ones silent.
+func TestSilence(t *testing.T) {
+	l := newEchoLink(t)
+	c := dial(t, l)
+	if err := <-exchange(c); err != nil {
+		t.Fatal(err)
+	}
+	l.Silence(true)
+	meanwhile := dial(t, l)
+	pending, opened := exchange(c), exchange(meanwhile)
+	time.Sleep(50 * time.Millisecond)
+	l.Silence(false)
+	if err := <-exchange(dial(t, l)); err != nil {
+		t.Fatalf("a new connection after the silence: %v", err)
+	}
+	select {
+	case err := <-pending:
+		t.Fatalf("a connection from before the silence ended or delivered: %v", err)
+	case err := <-opened:
+		t.Fatalf("a connection from the silence ended or delivered: %v", err)
+	case <-time.After(200 * time.Millisecond):
+	}
+}
+
 // Guards against a reset or a refusal that the client sees as an orderly end of the stream.
 func TestResetAndRefuse(t *testing.T) {
 	g := NewWithT(t)
