platform: leave odd rows out, and go on with the others

Operators of similar systems reported that one odd entry among those of the servers ended machines, or stopped them from following the list. Here no process ended, but entries with port 99999 or 2^63-1 slots were used as servers, one undecodable lease row kept all VMs from a primary, one value that is no base64 made a table unreadable, and a row over which a follower panics was listed again without end. Cause: entries were checked for missing fields only, and one bad row failed the whole list (store, leases, watch.Follow).

--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -54,6 +54,7 @@
 	DataCentreLost     ID = 714
 	DataCentreRegained ID = 715
 	PromotionHeld      ID = 716
+	MembersRefused     ID = 717
 	ConfigApplied      ID = 800
 	ConfigOlder        ID = 801
 	ConfigRefused      ID = 802
@@ -120,6 +121,7 @@
 	{DataCentreLost, LayerFailover, "no VM of a data centre answers", "Check the network to that data centre; reads use servers elsewhere."},
 	{DataCentreRegained, LayerFailover, "VMs of a data centre answer again", "None."},
 	{PromotionHeld, LayerFailover, "promotion waits for a server that may have acknowledged commits", "Start the servers that are missing; after 30 s without them the best of the others is promoted."},
+	{MembersRefused, LayerFailover, "invalid row among the leases of VMs", "Find the program that wrote the row; VMs are not affected, but changes of a primary take the duration of a lease while it exists."},
 	{ConfigApplied, LayerConfig, "configuration revision in force", "None."},
 	{ConfigOlder, LayerConfig, "store holds an older configuration", "Find out why the store holds an older state; the VMs keep the newer configuration."},
 	{ConfigRefused, LayerConfig, "configuration change refused", "Correct the errors listed, or base the change on the current revision."},
--- a/core/event/level.go
+++ b/core/event/level.go
@@ -51,6 +51,7 @@
 	PromotionDone:     LevelWarn,
 	PromotionFailed:   LevelError,
 	PromotionHeld:     LevelWarn,
+	MembersRefused:    LevelWarn,
 	TermReserved:      LevelDebug,
 	ServerGone:        LevelWarn,
 	ServerRefused:     LevelWarn,
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -219,6 +219,20 @@
 		s.syncReplicas = arg(0)
 		s.writeConfig()
 		return ""
+	case "row":
+		s.store.Put(arg(0), arg(1), []byte(strings.Replace(d.Input, "NESTED", strings.Repeat("[", 60000), 1)))
+		return ""
+	case "drains":
+		s.waitFor("server "+arg(1)+" drains at VM "+arg(0), func() bool { return isDraining(s.vms[arg(0)], s.group.Server(number(1)).ID()) })
+		return ""
+	case "servers":
+		var ids []string
+		for _, g := range s.vms[arg(0)].State().Groups {
+			for _, p := range g.Pools {
+				ids = append(ids, p.Server)
+			}
+		}
+		return strings.Join(ids, " ")
 	case "gone":
 		s.waitFor("server "+arg(1)+" is not registered at VM "+arg(0), func() bool {
 			return !slices.ContainsFunc(s.vms[arg(0)].State().Groups, func(g pool.GroupState) bool {
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -525,11 +525,7 @@
 	if err != nil {
 		return lead.Fleet{}, err
 	}
-	members, err := decodeMembers(s.Rows)
-	if err != nil {
-		e.log.Event(event.InvariantViolated, zap.Error(err))
-		return lead.Fleet{}, err
-	}
+	members := e.decodeMembers(s.Rows)
 	e.mu.Lock()
 	e.recordStoreClock(sent, s)
 	e.mu.Unlock()
@@ -537,6 +533,15 @@
 	return e.fleet, nil
 }
 
+// decodeMembers returns the members of all rows, and logs the rows that cannot be decoded.
+func (e *Elector) decodeMembers(rows []port.Row) []lead.Member {
+	members, invalid := decodeMembers(rows)
+	for _, err := range invalid {
+		e.log.Event(event.MembersRefused, zap.Error(err))
+	}
+	return members
+}
+
 func (e *Elector) memberReadDelay() time.Duration {
 	if e.isWatchedPrimarySuspected() {
 		return suspectReadInterval
--- a/io/elect/grant.go
+++ b/io/elect/grant.go
@@ -143,7 +143,10 @@
 		}
 		members, err := decodeMemberRow(row)
 		if err != nil {
-			return err
+			e.log.Event(event.MembersRefused, zap.Error(err))
+			if e.clock().Sub(e.started) < lead.LeaseDuration {
+				return err // The row may have held leases that this VM granted before it was started again.
+			}
 		}
 		e.ownRowVersion = row.Version
 		e.grants = e.grants.Union(lead.NewGrants(members))
--- a/io/elect/move.go
+++ b/io/elect/move.go
@@ -256,7 +256,7 @@
 // lists the leases once and then follows their changes, since the list of a large fleet is long.
 func (m *primaryMove) awaitConfirmation(ctx context.Context, epoch uint64) error {
 	rows := make(map[string]port.Row)
-	listed := false
+	began, listed := m.e.clock(), false
 	var version uint64
 	for ctx.Err() == nil {
 		sent := m.e.clock()
@@ -281,11 +281,10 @@
 					delete(rows, row.Key)
 				}
 			}
-			members, err := decodeMembers(slices.Collect(maps.Values(rows)))
-			if err != nil {
-				return err
-			}
-			if len(lead.PendingMembers(members, epoch, s.Clock)) == 0 {
+			members, invalid := decodeMembers(slices.Collect(maps.Values(rows)))
+			// A row that cannot be decoded may be that of a VM. The leases in it end within the duration of a lease.
+			mayHoldLease := len(invalid) > 0 && sent.Sub(began) <= lead.LeaseDuration+confirmWait
+			if len(lead.PendingMembers(members, epoch, s.Clock)) == 0 && !mayHoldLease {
 				return nil
 			}
 		}
--- a/io/elect/records.go
+++ b/io/elect/records.go
@@ -98,15 +98,17 @@
 	return members, nil
 }
 
-// decodeMembers returns the members of all rows, one for each VM.
-func decodeMembers(rows []port.Row) ([]lead.Member, error) {
+// decodeMembers returns the members of all rows, one for each VM, and an error for each row that cannot be decoded. Such a row must
+// not hide the other VMs.
+func decodeMembers(rows []port.Row) (members []lead.Member, invalid []error) {
 	var all []lead.Member
 	for _, row := range rows {
-		members, err := decodeMemberRow(row)
+		m, err := decodeMemberRow(row)
 		if err != nil {
-			return nil, err
+			invalid = append(invalid, err)
+			continue
 		}
-		all = append(all, members...)
+		all = append(all, m...)
 	}
-	return lead.Merge(all), nil
+	return lead.Merge(all), invalid
 }
--- a/io/elect/survey.go
+++ b/io/elect/survey.go
@@ -90,11 +90,7 @@
 	if err != nil {
 		return false, since
 	}
-	members, err := decodeMembers(s.Rows)
-	if err != nil {
-		e.log.Event(event.InvariantViolated, zap.Error(err))
-		return false, since
-	}
+	members := e.decodeMembers(s.Rows)
 	if since == 0 {
 		return false, s.Clock
 	}
--- a/io/watch/directory.go
+++ b/io/watch/directory.go
@@ -268,8 +268,9 @@
 	s, err := f.source.ParseServer(row.Key, row.Value)
 	if err != nil {
 		f.log.Event(event.ServerRefused, zap.Error(err))
+		_, known := f.servers[row.Key]
 		(*Directory)(f).removeServer(row.Key)
-		return true
+		return known
 	}
 	old, known := f.servers[row.Key]
 	changed := !known || old != s
--- a/io/watch/follow.go
+++ b/io/watch/follow.go
@@ -59,7 +59,13 @@
 			f.CallFailed(err)
 			sleep(ctx, backoff.Delay(failures, retry.Jitter()))
 		default:
-			if err := deliver(f, sent, s, listed); err != nil {
+			err := deliver(f, sent, s, listed)
+			if err != nil && !listed {
+				// Listing the rows again would not help.
+				f.CallFailed(err)
+				err = deliver(f, sent, withoutMalformedRows(f, sent, s), false)
+			}
+			if err != nil {
 				listed = false
 				failures++
 				f.CallFailed(err)
@@ -95,6 +101,22 @@
 	return nil
 }
 
+// withoutMalformedRows returns the list s without the rows over which the follower panics. It reports each of them as a failure.
+func withoutMalformedRows(f Follower, sent time.Time, s port.Snapshot) port.Snapshot {
+	kept := s
+	kept.Rows = nil
+	for _, row := range s.Rows {
+		one := s
+		one.Rows = []port.Row{row}
+		if err := deliver(f, sent, one, true); err != nil {
+			f.CallFailed(result.Wrap(result.Internal, err, "row %.200q of table %s is left out", row.Key, row.Table))
+			continue
+		}
+		kept.Rows = append(kept.Rows, row)
+	}
+	return kept
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/io/watch/follow_test.go
+++ b/io/watch/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -102,3 +103,58 @@
 	<-p.resets
 	<-p.changes
 }
+
+// tableWithMalformedRow always lists the same rows, one of which is malformed.
+type tableWithMalformedRow struct{ changingTable }
+
+func (*tableWithMalformedRow) List(context.Context, string) (port.Snapshot, error) {
+	return port.Snapshot{Rows: []port.Row{{Key: "a"}, {Key: "malformed"}, {Key: "z"}}, Version: 1}, nil
+}
+
+// rowFollower panics over the malformed row, wherever it appears, and passes on the keys of the rows of each list.
+type rowFollower struct {
+	countingFollower
+	lists    chan []string
+	failures chan error
+}
+
+func (r *rowFollower) keys(s port.Snapshot) (keys []string) {
+	for _, row := range s.Rows {
+		if row.Key == "malformed" {
+			panic("malformed row")
+		}
+		keys = append(keys, row.Key)
+	}
+	return keys
+}
+
+func (r *rowFollower) Reset(_ time.Time, s port.Snapshot)  { r.lists <- r.keys(s) }
+func (r *rowFollower) Change(_ time.Time, s port.Snapshot) { r.keys(s); r.changes <- struct{}{} }
+func (r *rowFollower) CallFailed(err error)                { r.failures <- err }
+
+// Guards against one malformed row that keeps a VM from following the table: the other rows must be applied.
+func TestMalformedRowIsLeftOut(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	r := &rowFollower{countingFollower{changes: make(chan struct{}, 9)}, make(chan []string, 9), make(chan error, 1000)}
+	var following sync.WaitGroup
+	defer following.Wait()
+	defer cancel()
+	following.Go(func() { Follow(ctx, &tableWithMalformedRow{}, "t", time.Hour, time.Now, r) })
+	select {
+	case keys := <-r.lists:
+		if len(keys) != 2 || keys[0] != "a" || keys[1] != "z" {
+			t.Errorf("the rows %v of the list were applied, want a and z", keys)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("no list was applied")
+	}
+	for range 3 { // the rows a and z alone, and the change after the list
+		<-r.changes
+	}
+	if err := <-r.failures; err == nil {
+		t.Error("the panic was not reported")
+	}
+	if err := <-r.failures; !strings.Contains(err.Error(), "malformed") {
+		t.Errorf("the row that was left out is not named: %v", err)
+	}
+}
