io/elect: tell VMs that resume a move whether a promotion was ordered

A VM that resumed the move of a VM that had stopped could return to the old primary after 1.2 s if no replica answered it, although the first VM had ordered a promotion, which may take effect late: two primaries. Cause: promotionOrdered was known only to the VM that ordered. Change: the record carries it, written before the order. Also: a VM that reaches no server which it may promote leaves the move to another VM after 10 s; before, it refreshed the record without end, which matters more now that promotions are held back.

--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -50,6 +50,7 @@
 	version uint64
 	// promotedAt is the position of the server when it was promoted, zero if it is unknown or the group does not require it.
 	promotedAt point.Point
+	ordered    bool // see PromotionOrdered
 }
 
 // NewRecord returns a record to be written to the table; writer is the VM that writes it.
@@ -73,6 +74,16 @@
 // below it. It is zero if the position is unknown.
 func (r Record) PromotedAt() point.Point { return r.promotedAt }
 
+// WithPromotionOrdered returns the record of a move in which a promotion has been or is about to be ordered.
+func (r Record) WithPromotionOrdered(ordered bool) Record {
+	r.ordered = ordered
+	return r
+}
+
+// PromotionOrdered reports whether a promotion may have been ordered in this move. It may take effect late, so the old primary must
+// not be used again.
+func (r Record) PromotionOrdered() bool { return r.ordered }
+
 // Phase returns the record's phase.
 func (r Record) Phase() Phase { return r.phase }
 
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -309,6 +309,13 @@
 		s.store.Put("verbenagate-vms", arg(0), fmt.Appendf(nil,
 			`{"vms":[{"name":%q,"epoch":0,"until_ms":%d}]}`, arg(0), (s.store.Clock()+lease).Milliseconds()))
 		return ""
+	case "wait":
+		d, err := time.ParseDuration(arg(0))
+		if err != nil {
+			return err.Error()
+		}
+		time.Sleep(d)
+		return ""
 	case "moving":
 		s.waitFor("primary being replaced at VM "+arg(0), func() bool {
 			st := s.vms[arg(0)].State().Elector
--- a/io/elect/move.go
+++ b/io/elect/move.go
@@ -41,10 +41,16 @@
 	minReturnWait = time.Second
 	// maxReturnAge is how long ago the old primary may have answered then.
 	maxReturnAge = 500 * time.Millisecond
+	// maxHoldTime is how long a VM waits for a server that it may promote before it leaves the move to another VM, which may reach
+	// more servers.
+	maxHoldTime = 10 * time.Second
 	// promotionTimeout is how long an ordered promotion may take to take effect before it is ordered again.
 	promotionTimeout = 2500 * time.Millisecond
 )
 
+// errNoCandidate means that this VM reaches no server that it may promote.
+var errNoCandidate = errors.New("no server that this VM reaches may be promoted")
+
 // errTakenOver means that another VM has written the record, or may already have done so.
 var errTakenOver = errors.New("another VM has taken over the replacement of the primary")
 
@@ -61,7 +67,7 @@
 	m := &primaryMove{
 		e: e, pg: pg, group: group, record: old, oldPrimary: old.Server(), oldTerm: old.Term(), keepPrimary: keepPrimary,
 		mayReturn:  old.Phase() == lead.Stable && !keepPrimary && e.isSuspected(group),
-		promotedAt: old.PromotedAt(),
+		promotedAt: old.PromotedAt(), promotionOrdered: old.Phase() == lead.Moving && old.PromotionOrdered(),
 	}
 	server, err := m.run(ctx)
 	e.setPromotionHeld(group, false)
@@ -96,7 +102,7 @@
 	oldTerm          uint64
 	keepPrimary      bool
 	mayReturn        bool // the old primary was unreachable, and no promotion can have been ordered yet
-	promotionOrdered bool // a promotion has been ordered and may take effect late
+	promotionOrdered bool // a promotion may have been ordered, by this VM or an earlier one, and may take effect late
 	record           lead.Record
 	recordWritten    time.Time   // when the request that last wrote the record was sent
 	promotedAt       point.Point // see lead.Record; of oldPrimary until another server leads
@@ -104,9 +110,10 @@
 	handedOver       bool        // oldPrimary is a draining server that this move has promoted
 }
 
-// newRecord returns a record to be written, with the position that a promoted server must have.
+// newRecord returns a record to be written, with what a VM that resumes the move must know.
 func (m *primaryMove) newRecord(phase lead.Phase, server string, term uint64) lead.Record {
-	return lead.NewRecord(phase, server, term, m.e.name).WithPromotedAt(m.promotedAt)
+	r := lead.NewRecord(phase, server, term, m.e.name).WithPromotedAt(m.promotedAt)
+	return r.WithPromotionOrdered(phase == lead.Moving && m.promotionOrdered)
 }
 
 // syncReplicas returns how many replicas must have received a commit of the group before it is acknowledged.
@@ -135,13 +142,13 @@
 		}
 		isOldPrimary := best.ID() == m.oldPrimary
 		if !best.Primary() {
+			m.promotionOrdered = true
 			if err := m.writeRecord(ctx, m.newRecord(lead.Moving, m.oldPrimary, m.record.Term()), false); err != nil {
 				return "", err
 			}
 			if !lead.MayOrderPromotion(m.e.clock(), m.recordWritten) {
 				return "", errTakenOver
 			}
-			m.promotionOrdered = true
 			err = m.e.promoter.Promote(ctx, m.group, best.ID(), m.e.name, m.record.Version())
 			if err != nil {
 				m.e.log.Event(event.PromotionFailed, zap.String("group", m.group), zap.String("server", best.ID()), zap.Error(err))
@@ -329,6 +336,9 @@
 			}
 			m.logHeld(poll)
 		}
+		if !ok && m.e.clock().Sub(began) > maxHoldTime {
+			return lead.Candidate{}, errNoCandidate
+		}
 		if m.e.clock().Sub(m.recordWritten) > recordRefreshInterval {
 			if err := m.writeRecord(ctx, m.newRecord(lead.Moving, m.oldPrimary, m.record.Term()), false); err != nil {
 				return lead.Candidate{}, err
--- a/io/elect/records.go
+++ b/io/elect/records.go
@@ -20,7 +20,7 @@
 )
 
 // groupRow is the stored form of a lead.Record. PromotedTerm and PromotedNumber are the log position at which the server was
-// promoted.
+// promoted. Ordered says that a promotion may have been ordered in the move.
 type groupRow struct {
 	Moving         bool   `json:"moving,omitempty"`
 	Server         string `json:"server"`
@@ -28,6 +28,7 @@
 	Writer         string `json:"holder"`
 	PromotedTerm   uint64 `json:"promoted_term,omitempty"`
 	PromotedNumber uint64 `json:"promoted_number,omitempty"`
+	Ordered        bool   `json:"ordered,omitempty"`
 }
 
 // memberRow is the stored form of the leases that one VM has requested.
@@ -50,6 +51,7 @@
 	value, err := json.Marshal(groupRow{
 		Moving: r.Phase() == lead.Moving, Server: r.Server(), Term: r.Term(), Writer: r.Writer(),
 		PromotedTerm: r.PromotedAt().Term(), PromotedNumber: r.PromotedAt().Position(),
+		Ordered: r.PromotionOrdered(),
 	})
 	return port.Row{Table: leadTable, Key: groupPrefix + group, Value: value}, err
 }
@@ -69,7 +71,7 @@
 		phase = lead.Moving
 	}
 	r = lead.NewRecord(phase, g.Server, g.Term, g.Writer).WithPromotedAt(point.New(g.PromotedTerm, g.PromotedNumber))
-	return group, r.WithVersion(row.Version), true, nil
+	return group, r.WithPromotionOrdered(g.Ordered).WithVersion(row.Version), true, nil
 }
 
 // encodeMembers returns the row of a VM with the leases that it has requested.
