io/entry: release a rolled-back transaction whatever becomes of its answer

Cause: the release ran only after the answer had been sent; a failed send ended the session without it. Change: the session holds the rolled-back transaction, and releases it after the attempt to send and at its end.

--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -515,3 +515,33 @@
 	}
 	return false
 }
+
+// Guards against callers that roll back and leave with an answer unread, and take a connection to the primary with them for good.
+func TestCallersThatLeaveAfterRollback(t *testing.T) {
+	s := newDeployment(t)
+	defer s.close()
+	s.startVM("a")
+	const callers = 20 // more than the VM's share of the primary's connections
+	for i := range callers {
+		name := fmt.Sprint("leaver", i)
+		s.open(name, "a", "pay", "")
+		if got := s.send(name, "- BEGIN\nw WRITE x one"); got != "DONE -, T\nDONE ledger-0.signed, T\n" {
+			t.Fatalf("caller %d: the transaction did not start: %s", i, got)
+		}
+		c := s.conns[name].conn
+		_, _ = fmt.Fprint(c, "QUERY r READ x\r\n")
+		time.Sleep(50 * time.Millisecond) // The answer arrives and is not read, so that closing resets the connection.
+		_, _ = fmt.Fprint(c, "QUERY - ROLLBACK\r\n")
+		_ = c.Close()
+		delete(s.conns, name)
+	}
+	s.waitFor("all connections to the primary idle", func() bool {
+		for _, p := range s.vms["a"].State().Groups[0].Pools {
+			if p.Open != p.Idle {
+				return false
+			}
+		}
+		return true
+	})
+	s.waitFor("no use of the primary", func() bool { return s.vms["a"].State().Elector.Groups[0].Users == 0 })
+}
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -43,7 +43,8 @@
 	leaderVersion uint64      // version of the record that named the primary when required was recorded
 	closeWhenIdle bool        // this VM is cut off, so another VM can serve the caller better
 
-	tx transaction
+	tx         transaction
+	rolledBack transaction // rolled back by the caller, but not yet on its server
 }
 
 // transaction is the state of an open or failed transaction.
@@ -82,12 +83,11 @@
 		began := ss.entry.deps.Clock()
 		a := ss.handle(id, st, began)
 		ss.recordResult(id, a, began)
-		if err := ss.sendAnswer(a); err != nil {
+		err = ss.sendAnswer(a)
+		ss.releaseRolledBack()
+		if err != nil {
 			return
 		}
-		if a.afterSend != nil {
-			a.afterSend()
-		}
 		if ss.closeWhenIdle && ss.state == query.Idle {
 			return
 		}
@@ -144,7 +144,6 @@
 	owner         string // VM through which the server was used, if any
 	leaderVersion uint64 // version of the record that named the primary used by the statement
 	tries         int
-	afterSend     func() // runs after the answer has been sent
 }
 
 func okAnswer() answer { return answer{code: result.OK} }
@@ -273,11 +272,14 @@
 	if ss.state != query.Open {
 		return errorAnswer(result.ProtocolError, "no transaction is open")
 	}
-	t := ss.tx
-	ss.tx, ss.state = transaction{}, query.Idle
-	a := okAnswer()
-	a.afterSend = func() { rollbackAndRelease(t) }
-	return a
+	ss.rolledBack, ss.tx, ss.state = ss.tx, transaction{}, query.Idle
+	return okAnswer()
+}
+
+// releaseRolledBack rolls the transaction that the caller has rolled back also back on its server, and gives up what it holds.
+func (ss *session) releaseRolledBack() {
+	rollbackAndRelease(ss.rolledBack)
+	ss.rolledBack = transaction{}
 }
 
 // endTransaction rolls the transaction back on its server and removes it from the session.
@@ -294,6 +296,7 @@
 
 // closeSession rolls back the open transaction, if there is one, and releases what it holds.
 func (ss *session) closeSession() {
+	ss.releaseRolledBack()
 	rollbackAndRelease(ss.tx)
 	ss.tx = transaction{}
 }
