--- a/io/reach/reach_test.go
+++ b/io/reach/reach_test.go
@@ -5,35 +5,21 @@
 	"errors"
 	"fmt"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
+	"verbenagate/io/logs"
 )
 
-// eventLog keeps the numbers of the events.
-type eventLog struct {
-	mu  sync.Mutex
-	ids []event.ID
-}
-
-func (l *eventLog) Event(id event.ID, _ ...zap.Field) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.ids = append(l.ids, id)
-}
-
 // network is a Monitor of a VM in dc0 with three VMs in each of three other data centres. Pings to addresses in silent fail.
 type network struct {
 	*Monitor
 	now     time.Time
 	silent  map[string]bool
-	log     eventLog
+	log     logs.Recorder
 	changes atomic.Int64
 }
 
@@ -98,8 +84,8 @@
 	if n.Unreachable("dc2") {
 		t.Fatal("dc2 is still unreachable although its VMs answer")
 	}
-	if want := []event.ID{event.DataCentreLost, event.DataCentreRegained}; !slices.Equal(n.log.ids, want) || n.changes.Load() != 2 {
-		t.Fatalf("events %v and %d changes, want %v and 2", n.log.ids, n.changes.Load(), want)
+	if want := []event.ID{event.DataCentreLost, event.DataCentreRegained}; !slices.Equal(n.log.Events(), want) || n.changes.Load() != 2 {
+		t.Fatalf("events %v and %d changes, want %v and 2", n.log.Events(), n.changes.Load(), want)
 	}
 }
 
