core/layout, platform, io/entry: admit callers by key, and name the workspace to servers

Change: layout.Config holds workspaces by key; a session is admitted by key, each operation again by the configuration in force; a transaction whose key was withdrawn is rolled back. Connections and forwarded statements carry the workspace; the pool does not yet match idle connections by workspace, and no quota is set.

--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -43,6 +43,7 @@
 	timeout       time.Duration
 	targetLatency time.Duration
 	priority      int
+	public        bool
 }
 
 // NewRoute returns a route. The timeout applies to a statement, targetLatency is the intended latency of an operation, and
@@ -54,6 +55,15 @@
 	}
 }
 
+// WithPublic returns the route, open to callers without a key if public is true.
+func (r Route) WithPublic(public bool) Route {
+	r.public = public
+	return r
+}
+
+// Public reports whether the route admits callers without a key.
+func (r Route) Public() bool { return r.public }
+
 // Database returns the database name that callers connect with.
 func (r Route) Database() string { return r.database }
 
@@ -83,6 +93,8 @@
 	groups             []string // in ascending order
 	syncReplicas       map[string]int
 	maxTransactionIdle time.Duration
+	byKey              map[string]Workspace // by key; nil if callers need no key
+	workspaces         map[string]Workspace // by name
 }
 
 // NewConfig returns a version of the configuration. The map limits holds the connection limit of each server, by group.
--- a/core/port/rows.go
+++ b/core/port/rows.go
@@ -68,7 +68,8 @@
 	Close() error
 }
 
-// Dialer opens connections to database servers. Dial fails if the server at address is not the one with this group and id.
+// Dialer opens connections to database servers. Dial fails if the server at address is not the one with this group and id. The server
+// is told for which workspace the connection is opened; with an empty workspace, it is told the name of the VM.
 type Dialer interface {
-	Dial(ctx context.Context, address, group, id string) (ServerConn, error)
+	Dial(ctx context.Context, address, group, id, workspace string) (ServerConn, error)
 }
--- a/core/result/codes.go
+++ b/core/result/codes.go
@@ -27,6 +27,7 @@
 	NotOwner         Code = 310
 	RolledBack       Code = 311
 	Overloaded       Code = 312
+	OverQuota        Code = 313
 	ConnectionLost   Code = 400
 	QuorumNotReached Code = 401
 	AnswerLost       Code = 402
@@ -44,7 +45,7 @@
 	{Internal, "internal", Unknown, "XX000", "Internal error in verbenagate; the effect of the request is not known."},
 	{OK, "ok", Done, "00000", "The request was carried out."},
 	{UnknownService, "unknown_service", NotRun, "3D000", "No service of this name is configured."},
-	{AuthFailed, "auth_failed", NotRun, "28P01", "The user name or the password is wrong."},
+	{AuthFailed, "auth_failed", NotRun, "28P01", "The user name, the password or the key is wrong."},
 	{NotPermitted, "not_permitted", NotRun, "42501", "The service does not admit this caller."},
 	{Unsupported, "unsupported", NotRun, "0A000", "The statement uses a feature that the proxy cannot support safely."},
 	{ProtocolError, "protocol_error", NotRun, "08P01", "A message does not follow the protocol; the connection is closed."},
@@ -65,6 +66,7 @@
 	{NotOwner, "not_owner", NotRun, "57P03", "The VM does not own the server."},
 	{RolledBack, "rolled_back", NotRun, "40001", "The transaction is known not to have taken effect; it may be retried."},
 	{Overloaded, "overloaded", NotRun, "53000", "The server cannot handle the arriving work within the maximum wait of the service."},
+	{OverQuota, "over_quota", NotRun, "53400", "The workspace has reached its limit of operations per second."},
 	{ConnectionLost, "connection_lost", Unknown, "08007", "The connection was lost while the request ran; its effect is not known."},
 	{QuorumNotReached, "quorum_not_reached", Unknown, "08007", "The commit was not confirmed by a majority of servers in time."},
 	{AnswerLost, "answer_lost", Unknown, "08007", "The answer of another VM was lost; the effect is not known."},
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"verbenagate/core/event"
+	"verbenagate/core/layout"
 	"verbenagate/core/query"
 	"verbenagate/core/result"
 	"verbenagate/io/elect"
@@ -38,8 +39,8 @@
 
 // Conn is the proxy's side of a caller's connection.
 type Conn interface {
-	// ReadStart reads the request to start a session and returns the name of its database.
-	ReadStart() (string, error)
+	// ReadStart reads the request to start a session and returns the name of its database and the key that the caller presents.
+	ReadStart() (database, key string, err error)
 	// ReadRequest reads the next request and returns its id and its statement.
 	ReadRequest() (id string, s query.Statement, err error)
 	// SendReady tells the caller that the session has started.
@@ -66,6 +67,15 @@
 	Clock   func() time.Time
 	Log     logs.Logger
 	Metrics *metric.Set
+	// Quota limits the operations of workspaces. There is no limit if it is nil.
+	Quota Quota
+}
+
+// Quota limits the operations of workspaces over all VMs.
+type Quota interface {
+	// Admit counts an operation of a workspace that begins at now. It returns an error with code result.OverQuota if the operation would
+	// exceed the limit of the workspace, no later than deadline.
+	Admit(w layout.Workspace, now, deadline time.Time) error
 }
 
 // Server accepts callers' connections and runs their sessions.
@@ -117,26 +127,23 @@
 	defer logs.RecoverPanic(s.deps.Log, "session of a caller")
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetReadDeadline(time.Now().Add(sessionStartTimeout))
-	database, err := conn.ReadStart()
+	database, key, err := conn.ReadStart()
 	if err != nil {
 		s.deps.Log.Event(event.CallerClosed, zap.Error(err))
 		return
 	}
-	if !s.waitForRoute(database) {
-		if s.deps.View().Config().Version() == 0 {
-			// The database may well exist. Without an answer, the caller tries another VM.
-			s.deps.Log.Event(event.CallerRefused, zap.String("database", database), zap.Uint64("config", 0))
-			return
+	if err := s.waitForAdmission(database, key); err != nil {
+		version := s.deps.View().Config().Version()
+		s.deps.Log.Event(event.CallerRefused, zap.String("database", database), zap.Uint64("config", version), zap.Error(err))
+		if version != 0 {
+			_ = conn.Refuse(result.CodeOf(err), result.Message(err))
 		}
-		s.deps.Log.Event(event.CallerRefused, zap.String("database", database),
-			zap.Uint64("config", s.deps.View().Config().Version()))
-		_ = conn.Refuse(result.UnknownService, "unknown database "+database)
-		return
+		return // Before the first configuration, the caller may well be admitted. Without an answer, it tries another VM.
 	}
 	if err := conn.SendReady(query.Idle); err != nil {
 		return
 	}
-	ss := newSession(s, conn, database)
+	ss := newSession(s, conn, database, key)
 	s.mu.Lock()
 	s.sessions[ss] = struct{}{}
 	s.mu.Unlock()
@@ -149,26 +156,40 @@
 	ss.run()
 }
 
-// waitForRoute reports whether the configuration contains a database. It waits up to routeLookupTimeout for a configuration that
-// does, and up to firstConfigTimeout for the first one.
-func (s *Server) waitForRoute(database string) bool {
+// waitForAdmission returns nil once the configuration admits a caller with this key to a database. It waits up to routeLookupTimeout for
+// a configuration that does, and up to firstConfigTimeout for the first one.
+func (s *Server) waitForAdmission(database, key string) error {
 	start := time.Now()
 	for {
 		config := s.deps.View().Config()
-		if _, ok := config.Route(database); ok {
-			return true
+		_, _, err := admit(config, database, key)
+		if err == nil {
+			return nil
 		}
 		timeout := routeLookupTimeout
 		if config.Version() == 0 {
 			timeout = firstConfigTimeout
 		}
 		if time.Since(start) > timeout {
-			return false
+			return err
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
+// admit returns the route of a database and the workspace of the caller, or why the configuration does not admit a caller with this key.
+func admit(config layout.Config, database, key string) (layout.Route, layout.Workspace, error) {
+	r, ok := config.Route(database)
+	if !ok {
+		return layout.Route{}, layout.Workspace{}, result.New(result.UnknownService, "unknown database %s", database)
+	}
+	w, ok := config.Admit(r, key)
+	if !ok {
+		return layout.Route{}, layout.Workspace{}, result.New(result.AuthFailed, "the key of the caller is not valid")
+	}
+	return r, w, nil
+}
+
 // Sessions returns the number of open sessions.
 func (s *Server) Sessions() int {
 	s.mu.Lock()
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -85,9 +85,9 @@
 	if ss.state == query.Open {
 		return ss.runInTransaction(st, now)
 	}
-	r, known := ss.entry.deps.View().Config().Route(ss.database)
-	if !known {
-		return errorAnswer(result.UnknownService, "unknown database "+ss.database)
+	r, err := ss.admitOperation(now)
+	if err != nil {
+		return answerFromError(err)
 	}
 	deadline := now.Add(r.Timeout() - answerReserve)
 	a := errorAnswer(result.NoServer, "no server can take the statement")
@@ -190,6 +190,7 @@
 	t.conn, err = g.Acquire(id, pool.AcquireRequest{
 		Timeout: ss.attemptTimeout(deadline, t.onPrimary), AnswerWithin: usefulTimeLeft(r, deadline.Sub(requestedAt)),
 		Priority: r.Priority(), SessionValues: ss.values, MaxAge: maxAge, ReadOnly: !writes && ss.state != query.Open,
+		Workspace: ss.workspace,
 	})
 	if err == nil && maxAge > 0 {
 		err = t.requirePosition(began, maxAge)
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -33,6 +33,7 @@
 	entry              *Server
 	conn               Conn
 	database           string
+	key                string // presented by the caller; it must not be logged
 	phase              atomic.Int32
 	closingOnIsolation atomic.Bool // the session is being closed because the VM is cut off
 
@@ -41,7 +42,8 @@
 	prepared      map[string]query.Shape
 	required      point.Point // position that a read must see, so that it sees the session's own commits
 	leaderVersion uint64      // version of the record that named the primary when required was recorded
-	closeWhenIdle bool        // this VM is cut off, so another VM can serve the caller better
+	closeWhenIdle bool        // the session cannot be served here any more
+	workspace     string      // of the operation that runs; "" if callers need no key
 
 	tx         transaction
 	rolledBack transaction // rolled back by the caller, but not yet on its server
@@ -60,8 +62,10 @@
 	expired    bool
 }
 
-func newSession(entry *Server, conn Conn, database string) *session {
-	return &session{entry: entry, conn: conn, database: database, state: query.Idle, prepared: make(map[string]query.Shape)}
+func newSession(entry *Server, conn Conn, database, key string) *session {
+	return &session{
+		entry: entry, conn: conn, database: database, key: key, state: query.Idle, prepared: make(map[string]query.Shape),
+	}
 }
 
 // isIdle reports whether the session waits for a request. A session in a transaction counts only with includeTransactions.
@@ -174,7 +178,7 @@
 	ss.entry.deps.Metrics.Counter(Statements, name).Inc(1)
 	ss.entry.deps.Metrics.Histogram(StatementSeconds).Observe(took.Seconds())
 	ss.entry.deps.Log.Event(event.StatementDone, zap.String("id", id), zap.String("database", ss.database),
-		zap.String("result", name), zap.String("message", a.message), zap.String("server", a.server),
+		zap.String("workspace", ss.workspace), zap.String("result", name), zap.String("message", a.message), zap.String("server", a.server),
 		zap.String("owner", a.owner), zap.Int("tries", a.tries), zap.Duration("took", took), zap.String("state", ss.state.String()),
 		zap.Uint64("config", ss.entry.deps.View().Config().Version()), zap.Uint64("leader", a.leaderVersion),
 		zap.String("required", ss.required.String()))
@@ -192,6 +196,14 @@
 		}
 		return errorAnswer(result.RolledBack, "the transaction was idle for too long")
 	}
+	if ss.state == query.Open && !ss.stillAdmitted() {
+		ss.state, ss.closeWhenIdle = query.Failed, true
+		ss.abandonOnServer()
+		if _, isCommit := st.(query.Commit); isCommit {
+			return ss.handleInFailedTransaction(st)
+		}
+		return errorAnswer(result.RolledBack, "the key of the caller is not valid any more")
+	}
 	switch st := st.(type) {
 	case query.Set:
 		values := make(map[string]string, len(ss.values)+1)
@@ -231,6 +243,34 @@
 	return ss.failTransaction(errorAnswer(result.ProtocolError, "unsupported kind of statement"))
 }
 
+// admitOperation checks that the configuration in force admits the caller, and counts an operation that begins at now for the caller's
+// workspace. It is the only check of an operation: nothing has been reserved for the operation, and none of it has run.
+func (ss *session) admitOperation(now time.Time) (layout.Route, error) {
+	r, w, err := admit(ss.entry.deps.View().Config(), ss.database, ss.key)
+	if err != nil {
+		ss.closeWhenIdle = ss.closeWhenIdle || result.CodeOf(err) == result.AuthFailed
+		return layout.Route{}, err
+	}
+	if w.Limited() && ss.entry.deps.Quota != nil {
+		if err := ss.entry.deps.Quota.Admit(w, now, now.Add(r.Timeout()-answerReserve)); err != nil {
+			return layout.Route{}, err
+		}
+	}
+	ss.workspace = w.Name()
+	return r, nil
+}
+
+// stillAdmitted reports whether the key of the caller still belongs to the workspace for which the open transaction began. A route that
+// was removed does not end the transaction.
+func (ss *session) stillAdmitted() bool {
+	config := ss.entry.deps.View().Config()
+	if !config.NeedsKeys() {
+		return true
+	}
+	w, ok := config.WorkspaceOf(ss.key)
+	return w.Name() == ss.workspace && (ok || ss.tx.route.Public())
+}
+
 // handleInFailedTransaction answers a request in a failed transaction. Only a rollback or a commit ends that transaction.
 func (ss *session) handleInFailedTransaction(st query.Statement) answer {
 	switch st.(type) {
@@ -258,9 +298,9 @@
 	if ss.state == query.Open {
 		return ss.failTransaction(errorAnswer(result.ProtocolError, "a transaction is already open"))
 	}
-	r, known := ss.entry.deps.View().Config().Route(ss.database)
-	if !known {
-		return errorAnswer(result.UnknownService, "unknown database "+ss.database)
+	r, err := ss.admitOperation(now)
+	if err != nil {
+		return answerFromError(err)
 	}
 	ss.state = query.Open
 	ss.tx = transaction{readOnly: st.ReadOnly(), route: r, began: now}
--- a/io/pool/panic_test.go
+++ b/io/pool/panic_test.go
@@ -24,7 +24,7 @@
 
 type panickingDialer struct{}
 
-func (panickingDialer) Dial(context.Context, string, string, string) (port.ServerConn, error) {
+func (panickingDialer) Dial(context.Context, string, string, string, string) (port.ServerConn, error) {
 	return panickingConn{}, nil
 }
 
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -39,6 +39,7 @@
 type Conn struct {
 	port.ServerConn
 	pool          *Pool
+	workspace     string // for which the connection was opened
 	sessionValues map[string]string
 	preparedNames map[query.Shape]string
 	preparedCount int
@@ -214,6 +215,8 @@
 	MaxAge time.Duration
 	// ReadOnly says that the statement may be run again.
 	ReadOnly bool
+	// Workspace is the workspace that the server is told when a connection is opened.
+	Workspace string
 }
 
 // Acquire returns a connection: an idle one, preferably with the session values in request, or a new one if the pool's limit
@@ -247,7 +250,7 @@
 	case p.open < p.limits.maxOpen && !now.Before(p.dialBlockedUntil):
 		p.open++
 		p.mu.Unlock()
-		return p.dial(deadline.Sub(now))
+		return p.dial(deadline.Sub(now), request.Workspace)
 	}
 	ahead := p.connWaiters.Ahead(rank, now, p.gate.ServiceTime())
 	if !p.gate.Admits(ahead, p.limits.maxOpen, request.AnswerWithin) {
@@ -259,7 +262,7 @@
 	w := &connWaiter{granted: make(chan *Conn, 1)}
 	p.connWaiters.Push(w, rank)
 	p.mu.Unlock()
-	return p.waitForConn(w, deadline)
+	return p.waitForConn(w, request.Workspace, deadline)
 }
 
 // AcquireBeyondLimit returns an idle connection, or else a new one even if that exceeds the pool's limit. It is for the VM's own
@@ -277,7 +280,7 @@
 	}
 	p.open++
 	p.mu.Unlock()
-	c, err := p.dial(timeout)
+	c, err := p.dial(timeout, "")
 	if err == nil {
 		c.forStatus = true
 	}
@@ -290,7 +293,7 @@
 	return p.running + p.slotWaiters.Ahead(rank, now, p.gate.ServiceTime()) - p.limits.maxRunning
 }
 
-func (p *Pool) waitForConn(w *connWaiter, deadline time.Time) (*Conn, error) {
+func (p *Pool) waitForConn(w *connWaiter, workspace string, deadline time.Time) (*Conn, error) {
 	t := time.NewTimer(deadline.Sub(p.clock()))
 	defer t.Stop()
 	select {
@@ -301,7 +304,7 @@
 		if c != nil {
 			return c, nil
 		}
-		return p.dial(deadline.Sub(p.clock()))
+		return p.dial(deadline.Sub(p.clock()), workspace)
 	case <-t.C:
 	}
 	p.mu.Lock()
@@ -354,15 +357,15 @@
 	return n
 }
 
-func (p *Pool) dial(timeout time.Duration) (*Conn, error) {
+func (p *Pool) dial(timeout time.Duration, workspace string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), max(min(timeout, dialTimeout), time.Millisecond))
 	defer cancel()
 	start := p.clock()
-	sc, err := p.dialer.Dial(ctx, p.server.Address(), p.server.Group(), p.server.ID())
+	sc, err := p.dialer.Dial(ctx, p.server.Address(), p.server.Group(), p.server.ID(), workspace)
 	if err == nil {
 		p.recordDialSuccess()
 		return &Conn{
-			ServerConn: sc, pool: p, sessionValues: make(map[string]string), preparedNames: make(map[query.Shape]string),
+			ServerConn: sc, pool: p, workspace: workspace, sessionValues: make(map[string]string), preparedNames: make(map[query.Shape]string),
 			acquiredAt: start,
 		}, nil
 	}
--- a/io/remote/caller.go
+++ b/io/remote/caller.go
@@ -162,7 +162,7 @@
 		return exec.Result{}, false, err
 	}
 	q.Group, q.Server, q.Session, q.Priority = s.group.Name(), s.server, s.id, priority
-	q.Timeout, q.AnswerWithin = timeout, answerWithin
+	q.Timeout, q.AnswerWithin, q.Workspace = timeout, answerWithin, s.request.Workspace
 	if s.id == 0 || q.Kind == kindBegin {
 		q.MaxAge = s.request.MaxAge
 	}
--- a/io/remote/message.go
+++ b/io/remote/message.go
@@ -29,6 +29,7 @@
 	Timeout      time.Duration `cbor:"14,keyasint"`
 	AnswerWithin time.Duration `cbor:"15,keyasint"` // see pool.AcquireRequest
 	Priority     int           `cbor:"16,keyasint,omitempty"`
+	Workspace    string        `cbor:"17,keyasint,omitempty"` // of the caller
 }
 
 // kind is the kind of a request.
--- a/io/remote/owner.go
+++ b/io/remote/owner.go
@@ -179,6 +179,7 @@
 	requestedAt := o.clock()
 	c, err := p.Acquire(pool.AcquireRequest{
 		Timeout: deadline.Sub(requestedAt), AnswerWithin: q.AnswerWithin, Priority: q.Priority, SessionValues: q.Values,
+		Workspace: q.Workspace,
 	})
 	if err != nil {
 		failed := result.CodeOf(err) == result.ConnectFailed
