core/draft, io/vetcli: check a configuration before it is sent

Cause: nothing told operators of entries that can never match, of limits that contradict each other, or of what a version changes. Change: core/draft keeps a configuration as it was written; VMs make theirs from it (platform ParseDraft, ParseConfig), and `verbenaentry vet` reports errors, unused entries, conflicts and changes, as text or JSON, without keys.

--- a/cmd/verbenaentry/main.go
+++ b/cmd/verbenaentry/main.go
@@ -5,19 +5,23 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
 
 	"github.com/alecthomas/kong"
 
+	"verbenagate/core/result"
 	"verbenagate/io/edge"
 	"verbenagate/io/entry"
+	"verbenagate/io/vetcli"
 	"verbenagate/io/watch"
 	"verbenagate/platform"
 )
 
 type cli struct {
-	Config string   `help:"Settings file." env:"VERBENAGATE_BOOT" default:"/etc/verbenagate/settings.conf" type:"path"`
-	Serve  struct{} `cmd:"" default:"1" help:"Serve callers until SIGTERM."`
-	Check  struct{} `cmd:"" help:"Check the settings file and list every error."`
+	Config string         `help:"Settings file." env:"VERBENAGATE_BOOT" default:"/etc/verbenagate/settings.conf" type:"path"`
+	Serve  struct{}       `cmd:"" default:"1" help:"Serve callers until SIGTERM."`
+	Check  struct{}       `cmd:"" help:"Check the settings file and list every error."`
+	Vet    vetcli.Command `cmd:"" help:"Check a configuration before it is sent."`
 }
 
 func main() {
@@ -27,15 +31,27 @@
 	switch k.Command() {
 	case "check":
 		_, err = edge.Load(c.Config)
+	case "vet <file>":
+		err = c.Vet.Run(os.Stdout, vetcli.Parsers{Draft: platform.ParseDraft, Server: platform.ParseServer})
 	default:
 		err = edge.Run(c.Config, newAdapters)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "verbenaentry:", err)
-		os.Exit(1)
+		os.Exit(exitCode(k.Command(), err))
 	}
 }
 
+// exitInvalid is the exit code for a configuration with errors.
+const exitInvalid = 3
+
+func exitCode(command string, err error) int {
+	if strings.HasPrefix(command, "vet") && result.CodeOf(err) == result.InvalidConfig {
+		return exitInvalid
+	}
+	return 1
+}
+
 func newAdapters(s edge.Settings) edge.Adapters {
 	store := platform.NewStore(s.Store(), s.Orders())
 	return edge.Adapters{
--- a/core/layout/layout_test.go
+++ b/core/layout/layout_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/onsi/gomega"
 )
 
 func ExampleShare() {
@@ -56,3 +58,37 @@
 		t.Fatal("an owner may open no connection")
 	}
 }
+
+// Guards against a caller that is admitted without a valid key, to a workspace that is not that of its key, or that is refused although
+// its route is public.
+func TestAdmit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	north, south := NewWorkspace("north", 1, 10, 5), NewWorkspace("south", 1, 0, 0)
+	closed := NewRoute("pay", "ledger", Primary, 0, time.Second, time.Second, 1)
+	public := NewRoute("look", "ledger", Bounded, time.Second, time.Second, time.Second, 1).WithPublic(true)
+	without := NewConfig(1, []Route{closed}, nil, 0)
+	empty := without.WithWorkspaces(nil)
+	keyed := without.WithWorkspaces(map[string]Workspace{"k1": north, "k2": north, "k3": south})
+	for _, c := range []struct {
+		config    Config
+		route     Route
+		key       string
+		workspace string
+		admitted  bool
+	}{
+		{without, closed, "any", "", true},
+		{empty, closed, "k1", "", false},
+		{keyed, closed, "k2", "north", true},
+		{keyed, closed, "k3", "south", true},
+		{keyed, closed, "k4", "", false},
+		{keyed, closed, "", "", false},
+		{keyed, public, "k4", "", true},
+		{keyed, public, "k1", "north", true},
+	} {
+		w, admitted := c.config.Admit(c.route, c.key)
+		g.Expect(admitted).To(gomega.Equal(c.admitted), "%s with key %q", c.route.Database(), c.key)
+		g.Expect(w.Name()).To(gomega.Equal(c.workspace), "%s with key %q", c.route.Database(), c.key)
+	}
+	g.Expect(north.Limited()).To(gomega.BeTrue())
+	g.Expect(south.Limited()).To(gomega.BeFalse())
+}
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -108,6 +108,17 @@
 	return false
 }
 
+// Cause returns the first cause of err, which is err itself if it was not made by Wrap.
+func Cause(err error) error {
+	for {
+		x := errorx.Cast(err)
+		if x == nil || x.Cause() == nil {
+			return err
+		}
+		err = x.Cause()
+	}
+}
+
 // CodeOf returns the code of err, Internal for an error without a code, and OK for nil.
 func CodeOf(err error) Code {
 	if err == nil {
