io/pool: run statements only on connections of their workspace

Cause: an idle connection served any caller, so servers ran statements under the name of another workspace or of a VM. Change: an idle connection serves its own workspace only; a request for which there is none closes the one that was idle the longest once the limit is reached, and so does a waiting request with a released one. Connections count as open until they are closed, and Trim wakes requests that came while the server refused connections. lab/lines records the workspace of each run.

--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -170,7 +170,10 @@
 
 // connWaiter is a request that waits for a connection. The channel delivers the connection, or nil if the request may open one
 // itself. It is closed if the pool is closed.
-type connWaiter struct{ granted chan *Conn }
+type connWaiter struct {
+	workspace string
+	granted   chan *Conn
+}
 
 // slotWaiter is a statement that waits for a slot. The channel is closed when the slot is granted.
 type slotWaiter struct{ granted chan struct{} }
@@ -215,12 +218,13 @@
 	MaxAge time.Duration
 	// ReadOnly says that the statement may be run again.
 	ReadOnly bool
-	// Workspace is the workspace that the server is told when a connection is opened.
+	// Workspace is the workspace of the caller. Only a connection that was opened for it may run the caller's statement.
 	Workspace string
 }
 
-// Acquire returns a connection: an idle one, preferably with the session values in request, or a new one if the pool's limit
-// allows, or the next one that is released.
+// Acquire returns a connection of the workspace in request: an idle one, preferably with the session values in request, or a new one
+// if the pool's limit allows, or the next one that is released. If all connections that the pool may open are open, an idle one of
+// another workspace is closed for the new one.
 func (p *Pool) Acquire(request AcquireRequest) (*Conn, error) {
 	now := p.clock()
 	usefulUntil := now.Add(request.AnswerWithin)
@@ -243,30 +247,82 @@
 		ahead := p.slotsAhead(now, rank)
 		p.mu.Unlock()
 		return nil, result.New(result.Overloaded, "%d statements are ahead in the queue for a slot of server %s", ahead, p.server.ID())
-	case len(p.idle) > 0:
-		c := p.takeIdle(request.SessionValues)
+	}
+	if c := p.takeIdle(request.Workspace, request.SessionValues); c != nil {
 		p.mu.Unlock()
 		return c, nil
-	case p.open < p.limits.maxOpen && !now.Before(p.dialBlockedUntil):
+	}
+	removed, ok := p.makeRoom(now)
+	var w *connWaiter
+	var err error
+	if ok {
 		p.open++
-		p.mu.Unlock()
+	} else {
+		w, err = p.enqueue(request, now, rank)
+	}
+	p.mu.Unlock()
+	closeAll(removed)
+	switch {
+	case ok:
 		return p.dial(deadline.Sub(now), request.Workspace)
+	case err != nil:
+		return nil, err
 	}
+	return p.waitForConn(w, deadline)
+}
+
+// enqueue adds a request to those that wait for a connection, unless the wait is too long for it. The caller holds mu.
+func (p *Pool) enqueue(request AcquireRequest, now time.Time, rank admit.Rank) (*connWaiter, error) {
 	ahead := p.connWaiters.Ahead(rank, now, p.gate.ServiceTime())
 	if !p.gate.Admits(ahead, p.limits.maxOpen, request.AnswerWithin) {
-		wait := p.gate.ExpectedWait(ahead, p.limits.maxOpen)
-		p.mu.Unlock()
 		return nil, result.New(result.Overloaded, "%d requests are ahead in the queue for server %s; the expected wait is %s",
-			ahead, p.server.ID(), wait)
+			ahead, p.server.ID(), p.gate.ExpectedWait(ahead, p.limits.maxOpen))
 	}
-	w := &connWaiter{granted: make(chan *Conn, 1)}
+	w := &connWaiter{workspace: request.Workspace, granted: make(chan *Conn, 1)}
 	p.connWaiters.Push(w, rank)
-	p.mu.Unlock()
-	return p.waitForConn(w, request.Workspace, deadline)
+	return w, nil
+}
+
+// makeRoom reports whether one more connection may be opened now. If the pool has as many as it may open, makeRoom first removes idle
+// ones, those that have been idle the longest, and returns them; the caller must close them before it opens one. The server may refuse
+// a connection because it has too many, but not in place of one that was closed. The caller holds mu.
+func (p *Pool) makeRoom(now time.Time) (removed []*Conn, ok bool) {
+	if p.open < p.limits.maxOpen && !now.Before(p.dialBlockedUntil) {
+		return nil, true
+	}
+	for len(p.idle) > 0 {
+		removed = append(removed, p.idle[0])
+		p.idle = slices.Delete(p.idle, 0, 1)
+		p.open--
+		if p.open < p.limits.maxOpen {
+			return removed, true
+		}
+	}
+	return removed, false
+}
+
+// closeConns closes connections that are neither idle nor in use any more, and lets waiting requests open others. They count as open
+// until then, so that the server's limit is not exceeded.
+func (p *Pool) closeConns(conns []*Conn) {
+	closeAll(conns)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open -= len(conns)
+	for range conns {
+		p.letNextWaiterDial()
+	}
+}
+
+// closeAll closes connections.
+func closeAll(conns []*Conn) {
+	for _, c := range conns {
+		_ = c.Close()
+	}
 }
 
-// AcquireBeyondLimit returns an idle connection, or else a new one even if that exceeds the pool's limit. It is for the VM's own
-// requests, which must not wait behind those of callers: callers may hold all connections to a server that has stopped answering.
+// AcquireBeyondLimit returns an idle connection of any workspace, or else a new one even if that exceeds the pool's limit. It is for
+// the VM's own requests, which must not wait behind those of callers: callers may hold all connections to a server that has stopped
+// answering.
 func (p *Pool) AcquireBeyondLimit(timeout time.Duration) (*Conn, error) {
 	p.mu.Lock()
 	switch {
@@ -274,7 +330,7 @@
 		p.mu.Unlock()
 		return nil, result.New(result.NoServer, "server %s has been removed or replaced", p.server.ID())
 	case len(p.idle) > 0:
-		c := p.takeIdle(nil)
+		c := p.takeIdleAt(len(p.idle) - 1)
 		p.mu.Unlock()
 		return c, nil
 	}
@@ -293,7 +349,7 @@
 	return p.running + p.slotWaiters.Ahead(rank, now, p.gate.ServiceTime()) - p.limits.maxRunning
 }
 
-func (p *Pool) waitForConn(w *connWaiter, workspace string, deadline time.Time) (*Conn, error) {
+func (p *Pool) waitForConn(w *connWaiter, deadline time.Time) (*Conn, error) {
 	t := time.NewTimer(deadline.Sub(p.clock()))
 	defer t.Stop()
 	select {
@@ -304,7 +360,7 @@
 		if c != nil {
 			return c, nil
 		}
-		return p.dial(deadline.Sub(p.clock()), workspace)
+		return p.dial(deadline.Sub(p.clock()), w.workspace)
 	case <-t.C:
 	}
 	p.mu.Lock()
@@ -327,18 +383,29 @@
 	return nil, result.New(result.QueueFull, "timed out waiting for a connection to server %s", p.server.ID())
 }
 
-// takeIdle removes and returns the idle connection with the highest matchScore, the latest released one if several have it. There
-// must be an idle connection. The caller holds mu.
-func (p *Pool) takeIdle(values map[string]string) *Conn {
-	best, bestScore := len(p.idle)-1, -1
+// takeIdle removes and returns the idle connection of a workspace with the highest matchScore, the latest released one if several have
+// it. It returns nil if the workspace has no idle connection. The caller holds mu.
+func (p *Pool) takeIdle(workspace string, values map[string]string) *Conn {
+	best, bestScore := -1, -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].workspace != workspace {
+			continue
+		}
 		if score := matchScore(p.idle[i].sessionValues, values); score > bestScore {
 			best, bestScore = i, score
 		}
 	}
-	c := p.idle[best]
+	if best < 0 {
+		return nil
+	}
+	return p.takeIdleAt(best)
+}
+
+// takeIdleAt removes and returns the idle connection with this index. The caller holds mu.
+func (p *Pool) takeIdleAt(i int) *Conn {
+	c := p.idle[i]
 	c.acquiredAt = p.clock()
-	p.idle = slices.Delete(p.idle, best, best+1)
+	p.idle = slices.Delete(p.idle, i, i+1)
 	return c
 }
 
@@ -446,15 +513,28 @@
 	}
 }
 
-// letNextWaiterDial lets the next waiting request open a connection if the limit allows. The caller holds mu.
-func (p *Pool) letNextWaiterDial() {
+// letNextWaiterDial lets the next waiting request open a connection if the limit allows, and reports whether it did. The caller holds
+// mu.
+func (p *Pool) letNextWaiterDial() bool {
 	if p.open >= p.limits.maxOpen || p.closed {
-		return
+		return false
 	}
-	if w, ok := p.connWaiters.Pop(p.clock(), p.gate.ServiceTime()); ok {
+	w, ok := p.connWaiters.Pop(p.clock(), p.gate.ServiceTime())
+	if ok {
 		p.open++
 		w.granted <- nil
 	}
+	return ok
+}
+
+// letWaitersDial lets waiting requests open connections as far as the limit allows, unless the server has just refused one. The caller
+// holds mu.
+func (p *Pool) letWaitersDial(now time.Time) {
+	if now.Before(p.dialBlockedUntil) {
+		return
+	}
+	for p.letNextWaiterDial() {
+	}
 }
 
 func (p *Pool) release(c *Conn) {
@@ -462,20 +542,24 @@
 	p.mu.Lock()
 	p.gate.RecordHoldTime(c.releasedAt.Sub(c.acquiredAt))
 	if c.broken || p.closed || p.open > p.limits.maxOpen {
-		p.open--
-		p.letNextWaiterDial()
 		p.mu.Unlock()
-		_ = c.Close()
+		p.closeConns([]*Conn{c})
 		return
 	}
-	if w, ok := p.connWaiters.Pop(c.releasedAt, p.gate.ServiceTime()); ok {
+	w, ok := p.connWaiters.Pop(c.releasedAt, p.gate.ServiceTime())
+	switch {
+	case !ok:
+		p.idle = append(p.idle, c)
+		p.mu.Unlock()
+	case w.workspace == c.workspace:
 		c.acquiredAt = c.releasedAt
 		p.mu.Unlock()
 		w.granted <- c
-		return
+	default:
+		p.mu.Unlock()
+		_ = c.Close() // before the waiting request opens its own, so that the server's limit is not exceeded
+		w.granted <- nil
 	}
-	p.idle = append(p.idle, c)
-	p.mu.Unlock()
 }
 
 // setLimits sets the limits of the pool.
@@ -483,7 +567,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limits = l
-	p.letNextWaiterDial()
+	p.letWaitersDial(p.clock())
 	p.grantSlots()
 }
 
@@ -496,17 +580,15 @@
 		if c.forStatus {
 			timeout = max(timeout, statusIdleTime)
 		}
-		if now.Sub(c.releasedAt) < timeout && p.open <= p.limits.maxOpen {
+		if now.Sub(c.releasedAt) < timeout && p.open-len(expired) <= p.limits.maxOpen {
 			return false
 		}
 		expired = append(expired, c)
-		p.open--
 		return true
 	})
+	p.letWaitersDial(now) // those that came while the server refused connections
 	p.mu.Unlock()
-	for _, c := range expired {
-		_ = c.Close()
-	}
+	p.closeConns(expired)
 }
 
 // dropIdle closes all idle connections, for instance after one of them was found broken.
@@ -514,11 +596,8 @@
 	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
-	p.open -= len(idle)
 	p.mu.Unlock()
-	for _, c := range idle {
-		_ = c.Close()
-	}
+	p.closeConns(idle)
 }
 
 // close closes the pool and its idle connections and fails all waiting requests. Connections in use are closed on release.
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -191,6 +191,40 @@
 	g.Expect(openConns(t, owner, "ledger-0")).To(gomega.Equal(1))
 }
 
+// Guards against an owner that runs the forwarded statement of one workspace on the connection of another, or that tells the server the
+// name of a VM instead of the workspace.
+func TestOwnerKeepsWorkspacesApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	servers, owner, v := newPair(t)
+	_, answered, err := owner.group(t).Status("ledger-0", testTimeout)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(answered).To(gomega.BeTrue())
+	acquire := func(workspace string) pool.Session {
+		s, err := v.group(t).Acquire("ledger-0", pool.AcquireRequest{
+			Timeout: testTimeout, AnswerWithin: testTimeout, Priority: 1, Workspace: workspace,
+		})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return s
+	}
+	open := acquire("choir")
+	_, _, err = open.Do(testTimeout, exec.NewBegin(false, point.Point{}))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, workspace := range []string{"garden", "choir", "garden", "orchard"} {
+		s := acquire(workspace)
+		_, _, err := run(s, workspace, "READ x")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		s.Release()
+	}
+	_, _, err = run(open, "choir", "COMMIT")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	runs := servers.servers.Runs()
+	g.Expect(runs).To(gomega.HaveLen(5))
+	for _, r := range runs {
+		g.Expect(r.Workspace).To(gomega.Equal(r.ID))
+	}
+	g.Expect(openConns(t, owner, "ledger-0")).To(gomega.Equal(5), "one for status requests, one for the transaction, one for each workspace")
+}
+
 func openConns(t *testing.T, v *vm, server string) int {
 	p, ok := v.group(t).Pool(server)
 	if !ok {
--- a/lab/lines/lines.go
+++ b/lab/lines/lines.go
@@ -28,6 +28,8 @@
 	Server, ID, Text string
 	// SessionValues holds the session values, and Prepared the text of the prepared statement or "".
 	SessionValues, Prepared string
+	// Workspace is the second field of START: who the connection was opened for.
+	Workspace string
 }
 
 // Group is a group of servers that replicate one log.
@@ -249,6 +251,7 @@
 type session struct {
 	s             *Server
 	conn          net.Conn
+	workspace     string
 	values        map[string]string
 	prepared      map[string]string // statement name to "READ shape" or "WRITE shape"
 	inTransaction bool
@@ -270,6 +273,7 @@
 		_, _ = fmt.Fprint(ss.conn, "ERR MISROUTED "+ss.s.id+"\r\n")
 		return
 	}
+	ss.workspace = f[2]
 	ss.send("")
 	for {
 		l, err := r.ReadString('\n')
@@ -429,6 +433,7 @@
 	}
 	ss.s.group.runs = append(ss.s.group.runs, Run{
 		Server: ss.s.id, ID: id, Text: text, SessionValues: strings.Join(values, ","), Prepared: shape,
+		Workspace: ss.workspace,
 	})
 }
 
