--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -26,6 +26,8 @@
 	GraceS     int     `yaml:"grace_s"`
 	VMs        int     `yaml:"vms"`
 	Cores      float64 `yaml:"cores"`
+	MemoryMB   int     `yaml:"memory_mb"`
+	FDs        int     `yaml:"descriptors"`
 	Log        struct {
 		Level          string `yaml:"level"`
 		LinesPerSecond int    `yaml:"lines_per_second"`
@@ -77,6 +79,12 @@
 	if k.Cores < 0 && !doc.HasProblem("cores") {
 		doc.Add("cores", "must not be negative")
 	}
+	if k.MemoryMB < 0 && !doc.HasProblem("memory_mb") {
+		doc.Add("memory_mb", "must not be negative")
+	}
+	if k.FDs < 0 && !doc.HasProblem("descriptors") {
+		doc.Add("descriptors", "must not be negative")
+	}
 	if k.Log.LinesPerSecond < 1 && !doc.HasProblem("log.lines_per_second") {
 		doc.Add("log.lines_per_second", "must be at least 1")
 	}
@@ -132,6 +140,12 @@
 // Cores returns the processor cores of this VM, 0 if unknown. Larger VMs do more work for the others.
 func (s Settings) Cores() float64 { return s.k.Cores }
 
+// Memory returns the bytes of memory that the process may use, 0 if unknown.
+func (s Settings) Memory() int64 { return int64(s.k.MemoryMB) << 20 }
+
+// Descriptors returns the file descriptors that the process may have open, 0 if unknown.
+func (s Settings) Descriptors() int { return s.k.FDs }
+
 // LogLevel returns the log level.
 func (s Settings) LogLevel() string { return s.k.Log.Level }
 
--- a/io/edge/settings_test.go
+++ b/io/edge/settings_test.go
@@ -39,9 +39,12 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	filled := strings.NewReplacer("{{nodeName}}", "vm-1", "{{zone}}", "dc", "{{listenAddrs.front}}", "10.0.0.1:1",
 		"{{listenAddrs.ready}}", "10.0.0.1:2", "{{ip}}", "10.0.0.1", "{{internalPorts.0}}", "3", "{{platform.address}}", "10.0.0.2:4",
-		"{{cloudApi.address}}", "10.0.0.2:5", "{{bounds.graceS}}", "6", "{{limits.cpuShare}}", "0.4").Replace(string(text))
+		"{{cloudApi.address}}", "10.0.0.2:5", "{{bounds.graceS}}", "6", "{{limits.cpuShare}}", "0.4",
+		"{{limits.memoryMb}}", "284", "{{limits.maxFds}}", "4200").Replace(string(text))
 	s, err := edge.Parse("settings.yaml", []byte(filled))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(s.Metrics()).To(gomega.Equal("10.0.0.1:3"))
 	g.Expect(s.Cores()).To(gomega.Equal(0.4))
+	g.Expect(s.Memory()).To(gomega.Equal(int64(284 << 20)))
+	g.Expect(s.Descriptors()).To(gomega.Equal(4200))
 }
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -34,6 +34,7 @@
 // Fleet is a deployment of VMs. It is safe for concurrent use.
 type Fleet struct {
 	dir, program string
+	settings     string // lines that each VM's settings have besides those of every fleet
 	store        *rows.Store
 	servers      *lines.Group
 	vms          []*VM
@@ -55,7 +56,12 @@
 
 // Start starts the stand-ins and vmsEach VMs in each data centre. Dir receives settings and logs.
 func Start(dir, program string, dataCentres, vmsEach int) (*Fleet, error) {
-	f := &Fleet{dir: dir, program: program}
+	return StartWith(dir, program, dataCentres, vmsEach, "")
+}
+
+// StartWith is like Start, and adds the given lines to the settings of each VM.
+func StartWith(dir, program string, dataCentres, vmsEach int, settings string) (*Fleet, error) {
+	f := &Fleet{dir: dir, program: program, settings: settings}
 	var err error
 	if f.servers, err = lines.NewGroup(group, 3); err != nil {
 		return nil, err
@@ -86,6 +92,9 @@
 // VMs returns the VMs.
 func (f *Fleet) VMs() []*VM { return f.vms }
 
+// Servers returns the group of database servers.
+func (f *Fleet) Servers() *lines.Group { return f.servers }
+
 // Store returns the store.
 func (f *Fleet) Store() *rows.Store { return f.store }
 
@@ -165,7 +174,7 @@
 		logPath: filepath.Join(f.dir, name+".log"), callers: addresses[0], ready: addresses[1], link: link,
 	}
 	text := fmt.Sprintf("vm: %s\ndata_centre: %s\ncallers: %s\nready: %s\nmetrics: %s\npeers: %s\nstore: %s\norders: %s\ngrace_s: 6\ncores: 0.4\n",
-		name, dataCentre, v.callers, v.ready, addresses[2], addresses[3], link.Addr(), f.store.Addr())
+		name, dataCentre, v.callers, v.ready, addresses[2], addresses[3], link.Addr(), f.store.Addr()) + f.settings
 	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -178,6 +187,22 @@
 // DataCentre returns the VM's data centre.
 func (v *VM) DataCentre() string { return v.dataCentre }
 
+// Callers returns the address at which the VM accepts callers.
+func (v *VM) Callers() string { return v.callers }
+
+// LogPath returns the file that receives the VM's log.
+func (v *VM) LogPath() string { return v.logPath }
+
+// PID returns the id of the process that was started last, 0 if there is none.
+func (v *VM) PID() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.process == nil {
+		return 0
+	}
+	return v.process.Cmd().Process.Pid
+}
+
 // Link returns the VM's path to the store.
 func (v *VM) Link() *fault.Link { return v.link }
 
