io/pool: close connections that keep much state of ended sessions

A connection to a server kept the values and prepared statements of all sessions that had used it, without a bound. One that keeps more than 64 KiB is closed when it is given back. TestStateKeptOnConnections fails without the change.

--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -30,6 +30,11 @@
 	// statusIdleTime is how long a connection for status requests is kept, so that a VM that watches a server does not open a
 	// connection for each request.
 	statusIdleTime = 5 * time.Second
+	// maxKeptState is how many bytes of session values and prepared statements a connection may keep when it is given back. The
+	// sessions that need them may have ended long ago.
+	maxKeptState = 64 << 10
+	// nameOverhead is what a session value or a prepared statement takes besides its texts.
+	nameOverhead = 64
 	// serverFullBackoff is how long Acquire opens no connection after the server refused one because it has too many or is
 	// overloaded.
 	serverFullBackoff = 150 * time.Millisecond
@@ -42,6 +47,7 @@
 	sessionValues map[string]string
 	preparedNames map[query.Shape]string
 	preparedCount int
+	stateBytes    int // of sessionValues and preparedNames
 	releasedAt    time.Time
 	acquiredAt    time.Time // when its current user acquired it or began to open it
 	usefulUntil   time.Time // when the answer to its current user's statement becomes useless
@@ -109,6 +115,7 @@
 			return err
 		}
 		c.sessionValues, c.preparedNames = make(map[string]string), make(map[query.Shape]string)
+		c.stateBytes = 0
 	}
 	for name, value := range values {
 		if current, ok := c.sessionValues[name]; ok && current == value {
@@ -117,7 +124,11 @@
 		if err := c.doInternal(timeout, exec.NewSet(name, value)); err != nil {
 			return err
 		}
+		if current, ok := c.sessionValues[name]; ok {
+			c.stateBytes -= len(name) + len(current) + nameOverhead
+		}
 		c.sessionValues[name] = value
+		c.stateBytes += len(name) + len(value) + nameOverhead
 	}
 	return nil
 }
@@ -145,6 +156,7 @@
 		return "", err
 	}
 	c.preparedNames[shape] = n
+	c.stateBytes += len(shape.Text()) + nameOverhead
 	return n, nil
 }
 
@@ -458,7 +470,7 @@
 	c.releasedAt = p.clock()
 	p.mu.Lock()
 	p.gate.RecordHoldTime(c.releasedAt.Sub(c.acquiredAt))
-	if c.broken || p.closed || p.open > p.limits.maxOpen {
+	if c.broken || p.closed || p.open > p.limits.maxOpen || c.stateBytes > maxKeptState {
 		p.open--
 		p.letNextWaiterDial()
 		p.mu.Unlock()
