io/entry: bound the memory and the connections of callers

Messages, answers and session state were held without a bound. core/budget decides, from the VM's memory and descriptors, what may be held and who is closed first: callers that the VM has waited for longest.

--- a/cmd/verbenaentry/main.go
+++ b/cmd/verbenaentry/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"verbenagate/io/bounds"
 	"verbenagate/io/edge"
 	"verbenagate/io/entry"
 	"verbenagate/io/watch"
@@ -37,9 +38,10 @@
 }
 
 func newAdapters(s edge.Settings) edge.Adapters {
+	account := bounds.NewAccount(s.Limits().Bytes())
 	store := platform.NewStore(s.Store(), s.Orders())
 	return edge.Adapters{
-		Rows: store, Orders: store, Dialer: platform.NewDialer(s.VM()),
+		Rows: store, Orders: store, Dialer: platform.NewDialer(s.VM()).WithMemory(account.OpenForServer), Account: account,
 		Source: watch.Source{
 			ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, ServerTable: platform.ServerTable,
 			ParseConfig: platform.ParseConfig, ParseServer: platform.ParseServer,
--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -15,6 +15,7 @@
 	CallerProtocol     ID = 201
 	CallerClosed       ID = 202
 	StatementDone      ID = 203
+	CallerTurnedAway   ID = 204
 	RouteRetry         ID = 300
 	RouteNoBarrier     ID = 301
 	EndptDown          ID = 400
@@ -82,6 +83,7 @@
 	{CallerProtocol, LayerCaller, "caller violated the protocol", "Identify the client; its connection was closed and other callers are not affected."},
 	{CallerClosed, LayerCaller, "caller connection closed", "None."},
 	{StatementDone, LayerCaller, "statement ended", "Look up the result code; the fields say which server ran it and for how long."},
+	{CallerTurnedAway, LayerCaller, "caller turned away", "See \"Memory is high\" in OPERATIONS.md; others counts callers since the last such line."},
 	{RouteRetry, LayerRoute, "unit of work retried", "None, unless the rate is high; then check the servers that it names."},
 	{RouteNoBarrier, LayerRoute, "barrier for a session not confirmed", "Check which servers of the group can be reached from this data centre."},
 	{EndptDown, LayerEndpoint, "server unreachable", "Check the server and the network between it and this VM."},
--- a/core/event/level.go
+++ b/core/event/level.go
@@ -35,6 +35,7 @@
 	PanicRecovered:    LevelError,
 	CallerProtocol:    LevelWarn,
 	CallerClosed:      LevelDebug,
+	CallerTurnedAway:  LevelWarn,
 	RouteRetry:        LevelDebug,
 	RouteNoBarrier:    LevelWarn,
 	EndptDown:         LevelWarn,
--- a/core/port/rows.go
+++ b/core/port/rows.go
@@ -68,6 +68,16 @@
 	Close() error
 }
 
+// Memory counts the bytes of what a connection receives, and limits them. It is not safe for concurrent use.
+type Memory interface {
+	// Grow asks for n bytes before they are used. After an error they must not be used.
+	Grow(n int) error
+	// Received says that a message is complete.
+	Received()
+	// Settle gives back what was asked for, when the message and its answer are no longer needed.
+	Settle()
+}
+
 // Dialer opens connections to database servers. Dial fails if the server at address is not the one with this group and id.
 type Dialer interface {
 	Dial(ctx context.Context, address, group, id string) (ServerConn, error)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -20,6 +20,7 @@
 	"verbenagate/core/lead"
 	"verbenagate/core/port"
 	"verbenagate/core/result"
+	"verbenagate/io/bounds"
 	"verbenagate/io/elect"
 	"verbenagate/io/entry"
 	"verbenagate/io/every"
@@ -58,6 +59,8 @@
 	Dialer port.Dialer
 	Source watch.Source
 	Wrap   func(net.Conn) entry.Conn
+	// Account counts the bytes that are held for callers and servers; nil if they are not limited.
+	Account *bounds.Account
 	// ReadyPath is the HTTP path of the load balancer's readiness check.
 	ReadyPath string
 }
@@ -94,6 +97,13 @@
 // Start starts a VM that logs to out. Stop must be called on the result.
 func Start(s Settings, a Adapters, out *os.File) (*Edge, error) {
 	debug.SetGCPercent(gcPercent)
+	limits := s.Limits()
+	if limits.Heap() > 0 {
+		debug.SetMemoryLimit(limits.Heap())
+	}
+	if a.Account == nil {
+		a.Account = bounds.NewAccount(0)
+	}
 	lines := NewLogWriter(out, s.LogLinesPerSecond())
 	lineLog, err := logs.New(lines, logs.FormatJSON, s.LogLevel())
 	if err != nil {
@@ -149,6 +159,7 @@
 	e.elector.Start(ctx)
 	e.entry, err = entry.Listen(ctx, s.Callers(), entry.Dependencies{
 		Wrap: a.Wrap, View: e.directory.View, Groups: e.pools, Elector: e.elector, Clock: Clock, Log: log, Metrics: e.metrics,
+		Bounds: entry.Bounds{Account: a.Account, Limits: limits},
 	})
 	if err != nil {
 		cancel()
@@ -163,6 +174,7 @@
 	e.background.Go(func() {
 		every.Interval(ctx, reportInterval, func() {
 			e.metrics.Gauge(entry.Sessions).Update(float64(e.entry.Sessions()))
+			e.metrics.Gauge(entry.CallerBytes).Update(float64(a.Account.Used()))
 			if n := lines.Dropped(); n > reported {
 				log.Event(event.LinesDropped, zap.Int64("lines", n-reported))
 				reported = n
--- a/io/edge/lines.go
+++ b/io/edge/lines.go
@@ -10,6 +10,8 @@
 const (
 	// maxQueuedLines bounds the number of lines that wait to be written.
 	maxQueuedLines = 512
+	// maxQueuedBytes bounds their bytes.
+	maxQueuedBytes = 4 << 20
 	// burstSeconds is the burst size of the rate limit, in seconds of the permitted rate.
 	burstSeconds = 2
 )
@@ -20,6 +22,7 @@
 	queue   chan []byte
 	done    chan struct{}
 	dropped atomic.Int64
+	queued  atomic.Int64 // bytes
 
 	mu       sync.Mutex
 	closed   bool
@@ -40,6 +43,7 @@
 			if _, err := w.Write(b); err != nil {
 				l.dropped.Add(1)
 			}
+			l.queued.Add(-int64(len(b)))
 		}
 	}()
 	return l
@@ -52,13 +56,14 @@
 	now := time.Now()
 	l.tokens = min(l.tokens+now.Sub(l.refilled).Seconds()*l.rate, l.rate*burstSeconds)
 	l.refilled = now
-	if l.closed || l.tokens < 1 {
+	if l.closed || l.tokens < 1 || l.queued.Load()+int64(len(b)) > maxQueuedBytes {
 		l.dropped.Add(1)
 		return len(b), nil
 	}
 	l.tokens--
 	select {
 	case l.queue <- append([]byte(nil), b...):
+		l.queued.Add(int64(len(b)))
 	default:
 		l.dropped.Add(1)
 	}
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"verbenagate/core/budget"
 	"verbenagate/core/result"
 	"verbenagate/io/logs"
 	"verbenagate/io/strict"
@@ -146,6 +147,9 @@
 // Descriptors returns the file descriptors that the process may have open, 0 if unknown.
 func (s Settings) Descriptors() int { return s.k.FDs }
 
+// Limits returns the limits that follow from the memory and the descriptors of the VM.
+func (s Settings) Limits() budget.Limits { return budget.NewLimits(s.Memory(), s.Descriptors()) }
+
 // LogLevel returns the log level.
 func (s Settings) LogLevel() string { return s.k.Log.Level }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -13,8 +13,10 @@
 	"go.uber.org/zap"
 
 	"verbenagate/core/event"
+	"verbenagate/core/port"
 	"verbenagate/core/query"
 	"verbenagate/core/result"
+	"verbenagate/io/bounds"
 	"verbenagate/io/elect"
 	"verbenagate/io/every"
 	"verbenagate/io/logs"
@@ -54,6 +56,8 @@
 	HasBufferedInput() bool
 	// SetReadDeadline sets the deadline of ReadStart and ReadRequest. The zero time means no deadline.
 	SetReadDeadline(t time.Time) error
+	// SetMemory sets what counts the bytes of requests.
+	SetMemory(m port.Memory)
 	Close() error
 }
 
@@ -66,6 +70,7 @@
 	Clock   func() time.Time
 	Log     logs.Logger
 	Metrics *metric.Set
+	Bounds  Bounds
 }
 
 // Server accepts callers' connections and runs their sessions.
@@ -73,6 +78,7 @@
 	deps     Dependencies
 	listener net.Listener
 	stopping atomic.Bool
+	callers  callers
 
 	mu         sync.Mutex
 	sessions   map[*session]struct{}
@@ -81,11 +87,18 @@
 
 // Listen starts to accept callers at address and returns the running Server. Stop ends it.
 func Listen(ctx context.Context, address string, deps Dependencies) (*Server, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", address)
+	if deps.Bounds.Account == nil {
+		deps.Bounds.Account = bounds.NewAccount(0)
+	}
+	l, err := (&net.ListenConfig{Control: deps.Bounds.control()}).Listen(ctx, "tcp4", address)
 	if err != nil {
 		return nil, result.Wrap(result.ConnectFailed, err, "listening for callers at %s", address)
 	}
 	s := &Server{deps: deps, listener: l, sessions: make(map[*session]struct{})}
+	s.callers.open = make(map[*boundedConn]struct{})
+	s.background.Go(func() {
+		every.Interval(ctx, overdueCheckInterval, func() { deps.Bounds.Account.CloseOverdue(time.Now()) })
+	})
 	s.background.Go(func() {
 		wasIsolated := false
 		every.Interval(ctx, isolationCheckInterval, func() {
@@ -107,7 +120,12 @@
 				time.Sleep(10 * time.Millisecond)
 				continue
 			}
-			s.background.Go(func() { s.serve(deps.Wrap(conn)) })
+			if c, ok := s.admit(conn); ok {
+				s.background.Go(func() {
+					defer s.leave(c)
+					s.serve(c)
+				})
+			}
 		}
 	})
 	return s, nil
@@ -125,18 +143,21 @@
 	if !s.waitForRoute(database) {
 		if s.deps.View().Config().Version() == 0 {
 			// The database may well exist. Without an answer, the caller tries another VM.
-			s.deps.Log.Event(event.CallerRefused, zap.String("database", database), zap.Uint64("config", 0))
+			s.deps.Log.Event(event.CallerRefused, zap.String("database", clip(database)), zap.Uint64("config", 0))
 			return
 		}
-		s.deps.Log.Event(event.CallerRefused, zap.String("database", database),
+		s.deps.Log.Event(event.CallerRefused, zap.String("database", clip(database)),
 			zap.Uint64("config", s.deps.View().Config().Version()))
-		_ = conn.Refuse(result.UnknownService, "unknown database "+database)
+		_ = conn.Refuse(result.UnknownService, "unknown database "+clip(database))
 		return
 	}
 	if err := conn.SendReady(query.Idle); err != nil {
 		return
 	}
 	ss := newSession(s, conn, database)
+	if c, ok := conn.(*boundedConn); ok {
+		c.session.Store(ss)
+	}
 	s.mu.Lock()
 	s.sessions[ss] = struct{}{}
 	s.mu.Unlock()
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -8,6 +8,9 @@
 	StatementSeconds = "statement_seconds"
 	Sessions         = "sessions"
 	Panics           = "panics_total"
+	// CallersTurnedAway and CallerBytes show what callers make the VM hold.
+	CallersTurnedAway = "callers_turned_away_total"
+	CallerBytes       = "caller_bytes"
 )
 
 // latencyBuckets ranges from a read in the same data centre to the longest statement timeout.
@@ -18,5 +21,8 @@
 	return r.Counter(Statements, "statements", "Statements that went to a server or failed, by result.", "result").
 		Histogram(StatementSeconds, "seconds", "Time from the arrival of a statement to the start of its answer.", latencyBuckets).
 		Gauge(Sessions, "sessions", "Open sessions of callers.").
+		Counter(CallersTurnedAway, "callers", "Callers that were refused, or whose connection was closed, to keep within the limits, by cause.",
+			"cause").
+		Gauge(CallerBytes, "bytes", "Memory counted for messages, answers and the state of sessions.").
 		Counter(Panics, "panics", "Panics that ended one connection or one call.")
 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -106,7 +106,7 @@
 		if !retry {
 			return a
 		}
-		ss.entry.deps.Log.Event(event.RouteRetry, zap.String("id", st.id), zap.String("server", a.server),
+		ss.entry.deps.Log.Event(event.RouteRetry, zap.String("id", clip(st.id)), zap.String("server", a.server),
 			zap.String("message", a.message))
 		switch {
 		case t.onPrimary:
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -39,9 +39,10 @@
 	state         query.State
 	values        map[string]string
 	prepared      map[string]query.Shape
-	required      point.Point // position that a read must see, so that it sees the session's own commits
-	leaderVersion uint64      // version of the record that named the primary when required was recorded
-	closeWhenIdle bool        // this VM is cut off, so another VM can serve the caller better
+	bytes         sessionBytes // of values and prepared
+	required      point.Point  // position that a read must see, so that it sees the session's own commits
+	leaderVersion uint64       // version of the record that named the primary when required was recorded
+	closeWhenIdle bool         // this VM is cut off, so another VM can serve the caller better
 
 	tx         transaction
 	rolledBack transaction // rolled back by the caller, but not yet on its server
@@ -173,8 +174,8 @@
 	name := result.Lookup(a.code).Name()
 	ss.entry.deps.Metrics.Counter(Statements, name).Inc(1)
 	ss.entry.deps.Metrics.Histogram(StatementSeconds).Observe(took.Seconds())
-	ss.entry.deps.Log.Event(event.StatementDone, zap.String("id", id), zap.String("database", ss.database),
-		zap.String("result", name), zap.String("message", a.message), zap.String("server", a.server),
+	ss.entry.deps.Log.Event(event.StatementDone, zap.String("id", clip(id)), zap.String("database", ss.database),
+		zap.String("result", name), zap.String("message", clip(a.message)), zap.String("server", a.server),
 		zap.String("owner", a.owner), zap.Int("tries", a.tries), zap.Duration("took", took), zap.String("state", ss.state.String()),
 		zap.Uint64("config", ss.entry.deps.View().Config().Version()), zap.Uint64("leader", a.leaderVersion),
 		zap.String("required", ss.required.String()))
@@ -194,19 +195,11 @@
 	}
 	switch st := st.(type) {
 	case query.Set:
-		values := make(map[string]string, len(ss.values)+1)
-		for name, value := range ss.values {
-			values[name] = value
-		}
-		values[st.Name()] = st.Value()
-		ss.values = values
-		return okAnswer()
+		return ss.setValue(st)
 	case query.Prepare:
-		ss.prepared[st.Name()] = st.Shape()
-		return okAnswer()
+		return ss.prepare(st)
 	case query.Forget:
-		delete(ss.prepared, st.Name())
-		return okAnswer()
+		return ss.forget(st)
 	case query.Begin:
 		return ss.begin(st, now)
 	case query.Rollback:
@@ -220,7 +213,7 @@
 	case query.Execute:
 		shape, known := ss.prepared[st.Name()]
 		if !known {
-			return ss.failTransaction(errorAnswer(result.NotFound, "unknown prepared statement "+st.Name()))
+			return ss.failTransaction(errorAnswer(result.NotFound, "unknown prepared statement "+clip(st.Name())))
 		}
 		return ss.runStatement(statement{
 			id: id, text: st.Arguments(), writes: shape.Writes(), prepared: true, shape: shape,
