io/link, io/remote: bound what other VMs make an owner hold

Long requests and answers of other VMs are counted in the owner's account; without room a request is refused as not run. An answer too long for a message ended the link and all calls on it; now that call alone ends, with its outcome unknown. A VM that does not read its replies loses its link after 10 s. The HTTP servers of a VM get time limits.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -50,6 +50,10 @@
 	// gcPercent, lower than Go's default, keeps the heap small; the live heap of a VM is a few megabytes.
 	gcPercent         = 60
 	readHeaderTimeout = 2 * time.Second
+	// Bounds of the requests for readiness, metrics and the state dump.
+	httpTimeout     = 10 * time.Second
+	httpIdleTimeout = time.Minute
+	maxHeaderBytes  = 16 << 10
 )
 
 // Adapters connect a VM to its platform.
@@ -147,6 +151,7 @@
 	e.owner = remote.NewOwner(ctx, e.pools, e.elector, forwarder, Clock, log)
 	e.peers = link.NewServer(ctx, Clock, log)
 	agents.Register(e.peers)
+	e.owner.SetAccount(a.Account)
 	e.owner.Register(e.peers)
 	if s.Peers() != "" {
 		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", s.Peers())
@@ -205,7 +210,10 @@
 		if err != nil {
 			return result.Wrap(result.ConnectFailed, err, "listening for HTTP requests at %s", address)
 		}
-		srv := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+		srv := &http.Server{
+			Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout,
+			IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		}
 		e.servers = append(e.servers, srv)
 		e.background.Go(func() { _ = srv.Serve(l) })
 	}
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -23,6 +23,13 @@
 	readHeaderTimeout = 2 * time.Second
 	// maxMessageBytes is several times the size of the operators' configuration and of all servers' entries.
 	maxMessageBytes = 8 << 20
+	// MaxReply is the greatest size of the texts of a reply. A larger message would end the connection, and all calls on it.
+	MaxReply = maxMessageBytes - 1<<20
+	// replyTimeout is how long another VM may take to receive a reply. One that does not read would make the replies to its calls
+	// pile up.
+	replyTimeout = 10 * time.Second
+	// maxHeaderBytes is the greatest size of the request for a connection.
+	maxHeaderBytes = 16 << 10
 )
 
 // Handler carries out a call. The returned value is encoded as the reply. An error closes the connection; errors that the caller
@@ -31,10 +38,17 @@
 
 // Call is a call of another VM.
 type Call struct {
-	body []byte
-	age  time.Duration
+	body    []byte
+	age     time.Duration
+	replied *[]func()
 }
 
+// Size returns the size of the arguments of the call.
+func (c Call) Size() int { return len(c.body) }
+
+// AfterReply calls f when the reply has been sent. It must be called by the goroutine of the handler, before the handler returns.
+func (c Call) AfterReply(f func()) { *c.replied = append(*c.replied, f) }
+
 // Decode decodes the arguments of the call into v.
 func (c Call) Decode(v any) error { return Decode(c.body, v) }
 
@@ -73,7 +87,7 @@
 func (s *Server) Serve(l net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+linkPath, s.serveConnection)
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	s.mu.Lock()
 	s.server = srv
 	s.mu.Unlock()
@@ -186,10 +200,15 @@
 // answer carries out a call and sends the reply. It closes the connection if there is none, since the other VM would wait for it.
 func (s *Server) answer(ctx context.Context, closeConn context.CancelFunc, c *Inbound, q request, call Call) {
 	answered := false
+	var replied []func()
+	call.replied = &replied
 	defer func() {
 		if !answered {
 			closeConn()
 		}
+		for _, f := range replied {
+			f()
+		}
 	}()
 	defer logs.RecoverPanic(s.log, "call of another VM")
 	r := response{ID: q.ID}
@@ -211,7 +230,9 @@
 	}
 	data, err := cbor.Marshal(r)
 	if err == nil {
-		err = c.ws.Write(ctx, websocket.MessageBinary, data)
+		writeCtx, cancel := context.WithTimeout(ctx, replyTimeout)
+		defer cancel()
+		err = c.ws.Write(writeCtx, websocket.MessageBinary, data)
 	}
 	answered = err == nil
 }
--- a/io/remote/owner.go
+++ b/io/remote/owner.go
@@ -13,6 +13,7 @@
 	"verbenagate/core/point"
 	"verbenagate/core/query"
 	"verbenagate/core/result"
+	"verbenagate/io/bounds"
 	"verbenagate/io/every"
 	"verbenagate/io/link"
 	"verbenagate/io/logs"
@@ -26,6 +27,11 @@
 	// for the answer. A VM that has lost power does not close its connections.
 	idleCheckInterval = time.Second
 	idleCheckTimeout  = time.Second
+	// callCopies and replyCopies are how often the bytes of a long request and of a long answer are held at the same time.
+	callCopies  = 3
+	replyCopies = 3
+	// freeBytes of a request and of an answer are not counted.
+	freeBytes = 8 << 10
 )
 
 // Elector tells which primary is certain, and learns from answers of servers.
@@ -44,6 +50,7 @@
 	positions *positions
 	clock     func() time.Time
 	log       logs.Logger
+	account   *bounds.Account // nil if bytes are not counted
 
 	mu           sync.Mutex
 	stopping     bool
@@ -69,6 +76,43 @@
 	return o
 }
 
+// SetAccount makes the owner count the bytes of long requests and answers of other VMs. It must be called before Register.
+func (o *Owner) SetAccount(a *bounds.Account) { o.account = a }
+
+// holdBytes counts the bytes of a long request until its reply has been sent.
+func (o *Owner) holdBytes(c link.Call) (*bounds.Holding, error) {
+	if o.account == nil {
+		return nil, nil
+	}
+	h := o.account.Open(nil)
+	c.AfterReply(h.Close)
+	if c.Size() <= freeBytes {
+		return h, nil
+	}
+	return h, h.GrowAnswer(callCopies * c.Size())
+}
+
+// checkReply replaces a reply that is too long to be sent, or for which there is no room, by an error.
+func checkReply(r runReply, h *bounds.Holding) runReply {
+	size := 0
+	for _, row := range r.Rows {
+		size += len(row)
+	}
+	err := error(nil)
+	switch {
+	case size > link.MaxReply:
+		err = result.New(result.AnswerLost, "the answer of %d bytes is too long to be forwarded", size)
+	case size > freeBytes && h != nil:
+		if h.GrowAnswer(replyCopies*size) != nil {
+			err = result.New(result.AnswerLost, "this VM has no memory for an answer of %d bytes", size)
+		}
+	}
+	if err != nil {
+		return errorReply(err, true, false)
+	}
+	return r
+}
+
 // Register makes the server s pass the calls of other VMs to the owner.
 func (o *Owner) Register(s *link.Server) {
 	s.Handle(link.Run, func(ctx context.Context, from *link.Inbound, c link.Call) (any, error) {
@@ -84,7 +128,11 @@
 			return errorReply(result.New(result.ShuttingDown, "this VM is stopping"), false, false), nil
 		}
 		defer o.end()
-		reply := o.run(ctx, from, q)
+		h, err := o.holdBytes(c)
+		if err != nil {
+			return errorReply(err, false, false), nil
+		}
+		reply := checkReply(o.run(ctx, from, q), h)
 		if reply.Error != 0 {
 			o.log.Event(event.ForwardFailed, zap.String("id", q.ID), zap.String("server", q.Server),
 				zap.String("result", result.Lookup(reply.Error).Name()), zap.String("message", reply.Message),
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -17,6 +17,7 @@
 	"verbenagate/core/point"
 	"verbenagate/core/query"
 	"verbenagate/core/result"
+	"verbenagate/io/bounds"
 	"verbenagate/io/link"
 	"verbenagate/io/pool"
 	"verbenagate/io/watch"
@@ -70,6 +71,7 @@
 	t       *testing.T
 	servers *lines.Group
 	store   *rows.Store
+	memory  int64 // that the VMs have for requests and answers; without a limit if 0
 }
 
 func newServers(t *testing.T) *group {
@@ -101,6 +103,7 @@
 	v.pools = pool.NewSet(name, "dc", platform.NewDialer(name), manyVMs, clock, discardLogger{})
 	v.pools.SetForwarder(caller)
 	v.owner = NewOwner(ctx, v.pools, &certainElector{}, caller, clock, discardLogger{})
+	v.owner.SetAccount(bounds.NewAccount(g.memory))
 	peers := link.NewServer(ctx, clock, discardLogger{})
 	v.owner.Register(peers)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -143,11 +146,17 @@
 // newPair starts a VM and the VM that owns all servers.
 func newPair(t *testing.T) (*group, *vm, *vm) {
 	g := newServers(t)
-	owner, v := g.newVM("owner"), g.newVM("vm")
+	owner, v := g.pair()
+	return g, owner, v
+}
+
+// pair starts a VM and the VM that owns all servers.
+func (g *group) pair() (owner, v *vm) {
+	owner, v = g.newVM("owner"), g.newVM("vm")
 	for _, each := range []*vm{owner, v} {
 		each.pools.SetMembers([]lead.Member{owner.member()}, manyVMs)
 	}
-	return g, owner, v
+	return owner, v
 }
 
 // acquire returns a session of v on a server.
