--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -3,6 +3,8 @@
 package budget
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -46,6 +48,17 @@
 // NewHolder returns a holder that belongs to owner.
 func NewHolder[T any](owner T) Holder[T] { return Holder[T]{owner: owner} }
 
+// Owner returns whom the holder belongs to.
+func (h *Holder[T]) Owner() T { return h.owner }
+
+// Waiting returns for how long the VM has waited for the other end, 0 if it does not wait.
+func (h *Holder[T]) Waiting(now time.Time) time.Duration {
+	if h.since.IsZero() {
+		return 0
+	}
+	return now.Sub(h.since)
+}
+
 // Bytes returns the bytes that the holder has taken.
 func (h *Holder[T]) Bytes() int64 { return h.total }
 
@@ -105,6 +118,12 @@
 // Resume is the opposite of Wait.
 func (a *Account[T]) Resume(h *Holder[T]) { h.since = time.Time{} }
 
+// Largest returns the holders of the most bytes, at most n, the largest first.
+func (a *Account[T]) Largest(n int) []*Holder[T] {
+	all := slices.SortedFunc(maps.Keys(a.holders), func(x, y *Holder[T]) int { return cmp.Compare(y.total, x.total) })
+	return all[:min(n, len(all))]
+}
+
 // Evict chooses which holders are to be closed so that n bytes become available: of those that the VM has waited for at least Patience,
 // the ones it has waited for longest. Holders that were chosen earlier count, although they have not given back their bytes yet.
 func (a *Account[T]) Evict(n int64, now time.Time) []T {
--- a/io/bounds/bounds.go
+++ b/io/bounds/bounds.go
@@ -21,12 +21,45 @@
 
 // Account is the account of one VM. It is safe for concurrent use.
 type Account struct {
+	limit int64
+
 	mu      sync.Mutex
 	account *budget.Account[*Holding]
 }
 
+// Held is what one connection holds.
+type Held struct {
+	Name    string  `json:"name"` // the address of the other end
+	Bytes   int64   `json:"bytes"`
+	Waiting float64 `json:"waiting_s"` // for how long the VM has waited for it
+}
+
+// State is the part of the state dump about an account.
+type State struct {
+	Bytes   int64  `json:"bytes"`
+	Limit   int64  `json:"limit"` // 0 if there is none
+	Largest []Held `json:"largest"`
+}
+
+// largestInState is how many connections a state dump lists.
+const largestInState = 20
+
+// State returns what is held, and by whom the most.
+func (a *Account) State() State {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := State{Bytes: a.account.Used(), Limit: a.limit, Largest: []Held{}}
+	for _, h := range a.account.Largest(largestInState) {
+		s.Largest = append(s.Largest, Held{Name: h.Owner().name, Bytes: h.Bytes(), Waiting: h.Waiting(now).Seconds()})
+	}
+	return s
+}
+
 // NewAccount returns an account of at most limit bytes; without a limit if it is 0.
-func NewAccount(limit int64) *Account { return &Account{account: budget.NewAccount[*Holding](limit)} }
+func NewAccount(limit int64) *Account {
+	return &Account{limit: limit, account: budget.NewAccount[*Holding](limit)}
+}
 
 // Used returns the bytes that are taken.
 func (a *Account) Used() int64 {
@@ -35,10 +68,10 @@
 	return a.account.Used()
 }
 
-// Open returns the holding of a connection. Evict closes the connection; it is called at most once, with the reason, from any goroutine.
+// Open returns the holding of a connection, which name tells from others in the state dump. Evict closes the connection; it is called at most once, with the reason, from any goroutine.
 // A holding without it is never closed for others. The connection must call Close at its end.
-func (a *Account) Open(evict func(reason string)) *Holding {
-	h := &Holding{account: a, evict: evict}
+func (a *Account) Open(name string, evict func(reason string)) *Holding {
+	h := &Holding{account: a, name: name, evict: evict}
 	h.holder = budget.NewHolder(h)
 	return h
 }
@@ -56,6 +89,7 @@
 // Holding is what one connection holds of the account. Its methods are for the goroutine of the connection.
 type Holding struct {
 	account *Account
+	name    string
 	evict   func(reason string)
 	holder  budget.Holder[*Holding]
 	held    bool // the connection may hold bytes; spares the lock of the account when it holds none
@@ -162,4 +196,4 @@
 func (h ForServer) Grow(n int) error { return h.GrowAnswer(n) }
 
 // OpenForServer returns the holding of a connection to a server.
-func (a *Account) OpenForServer() port.Memory { return ForServer{a.Open(nil)} }
+func (a *Account) OpenForServer() port.Memory { return ForServer{a.Open("server", nil)} }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -87,6 +87,7 @@
 	metrics    *metric.Set
 	directory  *watch.Directory
 	pools      *pool.Set
+	account    *bounds.Account
 	elector    *elect.Elector
 	agents     *relay.Relay
 	owner      *remote.Owner
@@ -122,7 +123,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Edge{
-		settings: s, log: log, logLines: lines, cancel: cancel, metrics: metrics,
+		settings: s, log: log, logLines: lines, cancel: cancel, metrics: metrics, account: a.Account,
 		pools: pool.NewSet(s.VM(), s.DataCentre(), a.Dialer, s.VMs(), Clock, log),
 	}
 	log.Event(event.NodeStarted, zap.String("vm", s.VM()), zap.String("data_centre", s.DataCentre()))
@@ -231,6 +232,7 @@
 	Ready    bool              `json:"ready"`
 	Config   uint64            `json:"config"`
 	Sessions int               `json:"sessions"`
+	Memory   bounds.State      `json:"memory"`
 	Elector  elect.State       `json:"elector"`
 	Agents   relay.State       `json:"agents"`
 	Groups   []pool.GroupState `json:"groups"`
@@ -240,7 +242,7 @@
 func (e *Edge) State() State {
 	return State{
 		VM: e.settings.VM(), Ready: e.Ready(), Config: e.directory.View().Config().Version(), Sessions: e.entry.Sessions(),
-		Elector: e.elector.State(), Agents: e.agents.State(), Groups: e.pools.State(),
+		Memory: e.account.State(), Elector: e.elector.State(), Agents: e.agents.State(), Groups: e.pools.State(),
 	}
 }
 
--- a/io/entry/bounds.go
+++ b/io/entry/bounds.go
@@ -114,7 +114,7 @@
 	}
 	s.callers.open[c] = struct{}{}
 	s.callers.mu.Unlock()
-	c.holding = s.deps.Bounds.Account.Open(func(reason string) {
+	c.holding = s.deps.Bounds.Account.Open(c.address, func(reason string) {
 		s.turnedAway(c.address, refusedMemory, reason)
 		_ = c.Conn.Close()
 	})
--- a/io/remote/owner.go
+++ b/io/remote/owner.go
@@ -84,7 +84,7 @@
 	if o.account == nil {
 		return nil, nil
 	}
-	h := o.account.Open(nil)
+	h := o.account.Open("another VM", nil)
 	c.AfterReply(h.Close)
 	if c.Size() <= freeBytes {
 		return h, nil
