--- a/io/entry/bounds.go
+++ b/io/entry/bounds.go
@@ -98,6 +98,7 @@
 	holding *bounds.Holding
 	session atomic.Pointer[session] // nil until the session has started
 	served  atomic.Bool             // a server has answered a request of the session
+	evicted atomic.Bool             // it was closed to make room, and counted
 }
 
 // admit registers a new connection. If there are too many, it closes one that may be closed for it, or refuses the new one.
@@ -115,6 +116,7 @@
 	s.callers.open[c] = struct{}{}
 	s.callers.mu.Unlock()
 	c.holding = s.deps.Bounds.Account.Open(c.address, func(reason string) {
+		c.evicted.Store(true)
 		s.turnedAway(c.address, refusedMemory, reason)
 		_ = c.Conn.Close()
 	})
@@ -197,6 +199,9 @@
 
 // noteReadError logs an error that says that a message was refused.
 func (c *boundedConn) noteReadError(err error) {
+	if c.evicted.Load() {
+		return
+	}
 	switch result.CodeOf(err) {
 	case result.TooLarge:
 		c.entry.turnedAway(c.address, refusedTooLarge, "a message is over the limit")
@@ -239,7 +244,9 @@
 	if size > freeAnswerBytes {
 		c.holding.Wait()
 		if err := c.holding.GrowAnswer(answerCopies * size); err != nil {
-			c.entry.turnedAway(c.address, refusedMemory, "there was no memory for an answer")
+			if !c.evicted.Load() {
+				c.entry.turnedAway(c.address, refusedMemory, "there was no memory for an answer")
+			}
 			return err
 		}
 	}
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -61,8 +62,9 @@
 	expired    bool
 }
 
+// newSession returns a session. It does not keep the message that opened it, which may be long.
 func newSession(entry *Server, conn Conn, database string) *session {
-	return &session{entry: entry, conn: conn, database: database, state: query.Idle, prepared: make(map[string]query.Shape)}
+	return &session{entry: entry, conn: conn, database: strings.Clone(database), state: query.Idle, prepared: make(map[string]query.Shape)}
 }
 
 // isIdle reports whether the session waits for a request. A session in a transaction counts only with includeTransactions.
--- a/lab/flood/flood_test.go
+++ b/lab/flood/flood_test.go
@@ -180,6 +180,33 @@
 	}
 }
 
+// Guards against sessions that keep the whole message that opened them.
+func TestLongStarts(t *testing.T) {
+	play(t, func(s *Site) {
+		callers := make([]*caller, crowd)
+		t.Cleanup(func() {
+			for _, c := range callers {
+				if c != nil {
+					_ = c.Close()
+				}
+			}
+		})
+		start := "START " + database + " "
+		start += strings.Repeat("u", maxMessage-len(start)-2) + "\r\n"
+		for i := range callers { // One after the other, so that each is served in calm.
+			c, err := s.connect()
+			if err != nil {
+				continue
+			}
+			callers[i] = c
+			_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+			if _, err := io.WriteString(c, start); err == nil {
+				_, _ = c.r.ReadString('\n')
+			}
+		}
+	})
+}
+
 // Guards against running out of memory by messages far over the limit.
 func TestMessagesOverTheLimit(t *testing.T) {
 	play(t, func(s *Site) {
