--- a/cmd/verbenaentry/main.go
+++ b/cmd/verbenaentry/main.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kong"
 
 	"verbenagate/core/result"
+	"verbenagate/io/bounds"
 	"verbenagate/io/edge"
 	"verbenagate/io/entry"
 	"verbenagate/io/vetcli"
@@ -53,9 +54,10 @@
 }
 
 func newAdapters(s edge.Settings) edge.Adapters {
+	account := bounds.NewAccount(s.Limits().Bytes())
 	store := platform.NewStore(s.Store(), s.Orders())
 	return edge.Adapters{
-		Rows: store, Orders: store, Dialer: platform.NewDialer(s.VM()),
+		Rows: store, Orders: store, Dialer: platform.NewDialer(s.VM()).WithMemory(account.OpenForServer), Account: account,
 		Source: watch.Source{
 			ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, ServerTable: platform.ServerTable,
 			ParseConfig: platform.ParseConfig, ParseServer: platform.ParseServer,
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -20,6 +20,7 @@
 	"verbenagate/core/lead"
 	"verbenagate/core/port"
 	"verbenagate/core/result"
+	"verbenagate/io/bounds"
 	"verbenagate/io/elect"
 	"verbenagate/io/entry"
 	"verbenagate/io/every"
@@ -49,6 +50,10 @@
 	// gcPercent, lower than Go's default, keeps the heap small; the live heap of a VM is a few megabytes.
 	gcPercent         = 60
 	readHeaderTimeout = 2 * time.Second
+	// Bounds of the requests for readiness, metrics and the state dump.
+	httpTimeout     = 10 * time.Second
+	httpIdleTimeout = time.Minute
+	maxHeaderBytes  = 16 << 10
 )
 
 // Adapters connect a VM to its platform.
@@ -58,6 +63,8 @@
 	Dialer port.Dialer
 	Source watch.Source
 	Wrap   func(net.Conn) entry.Conn
+	// Account counts the bytes that are held for callers and servers; nil if they are not limited.
+	Account *bounds.Account
 	// ReadyPath is the HTTP path of the load balancer's readiness check.
 	ReadyPath string
 }
@@ -80,6 +87,7 @@
 	metrics    *metric.Set
 	directory  *watch.Directory
 	pools      *pool.Set
+	account    *bounds.Account
 	elector    *elect.Elector
 	agents     *relay.Relay
 	owner      *remote.Owner
@@ -94,6 +102,13 @@
 // Start starts a VM that logs to out. Stop must be called on the result.
 func Start(s Settings, a Adapters, out *os.File) (*Edge, error) {
 	debug.SetGCPercent(gcPercent)
+	limits := s.Limits()
+	if limits.Heap() > 0 {
+		debug.SetMemoryLimit(limits.Heap())
+	}
+	if a.Account == nil {
+		a.Account = bounds.NewAccount(0)
+	}
 	lines := NewLogWriter(out, s.LogLinesPerSecond())
 	lineLog, err := logs.New(lines, logs.FormatJSON, s.LogLevel())
 	if err != nil {
@@ -108,7 +123,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Edge{
-		settings: s, log: log, logLines: lines, cancel: cancel, metrics: metrics,
+		settings: s, log: log, logLines: lines, cancel: cancel, metrics: metrics, account: a.Account,
 		pools: pool.NewSet(s.VM(), s.DataCentre(), a.Dialer, s.VMs(), Clock, log),
 	}
 	log.Event(event.NodeStarted, zap.String("vm", s.VM()), zap.String("data_centre", s.DataCentre()))
@@ -137,6 +152,7 @@
 	e.owner = remote.NewOwner(ctx, e.pools, e.elector, forwarder, Clock, log)
 	e.peers = link.NewServer(ctx, Clock, log)
 	agents.Register(e.peers)
+	e.owner.SetAccount(a.Account)
 	e.owner.Register(e.peers)
 	if s.Peers() != "" {
 		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", s.Peers())
@@ -149,6 +165,7 @@
 	e.elector.Start(ctx)
 	e.entry, err = entry.Listen(ctx, s.Callers(), entry.Dependencies{
 		Wrap: a.Wrap, View: e.directory.View, Groups: e.pools, Elector: e.elector, Clock: Clock, Log: log, Metrics: e.metrics,
+		Bounds: entry.Bounds{Account: a.Account, Limits: limits},
 	})
 	if err != nil {
 		cancel()
@@ -163,6 +180,7 @@
 	e.background.Go(func() {
 		every.Interval(ctx, reportInterval, func() {
 			e.metrics.Gauge(entry.Sessions).Update(float64(e.entry.Sessions()))
+			e.metrics.Gauge(entry.CallerBytes).Update(float64(a.Account.Used()))
 			if n := lines.Dropped(); n > reported {
 				log.Event(event.LinesDropped, zap.Int64("lines", n-reported))
 				reported = n
@@ -193,7 +211,10 @@
 		if err != nil {
 			return result.Wrap(result.ConnectFailed, err, "listening for HTTP requests at %s", address)
 		}
-		srv := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+		srv := &http.Server{
+			Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout,
+			IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		}
 		e.servers = append(e.servers, srv)
 		e.background.Go(func() { _ = srv.Serve(l) })
 	}
@@ -211,6 +232,7 @@
 	Ready    bool              `json:"ready"`
 	Config   uint64            `json:"config"`
 	Sessions int               `json:"sessions"`
+	Memory   bounds.State      `json:"memory"`
 	Elector  elect.State       `json:"elector"`
 	Agents   relay.State       `json:"agents"`
 	Groups   []pool.GroupState `json:"groups"`
@@ -220,7 +242,7 @@
 func (e *Edge) State() State {
 	return State{
 		VM: e.settings.VM(), Ready: e.Ready(), Config: e.directory.View().Config().Version(), Sessions: e.entry.Sessions(),
-		Elector: e.elector.State(), Agents: e.agents.State(), Groups: e.pools.State(),
+		Memory: e.account.State(), Elector: e.elector.State(), Agents: e.agents.State(), Groups: e.pools.State(),
 	}
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -14,8 +14,10 @@
 
 	"verbenagate/core/event"
 	"verbenagate/core/layout"
+	"verbenagate/core/port"
 	"verbenagate/core/query"
 	"verbenagate/core/result"
+	"verbenagate/io/bounds"
 	"verbenagate/io/elect"
 	"verbenagate/io/every"
 	"verbenagate/io/logs"
@@ -32,6 +34,8 @@
 	routeLookupTimeout = 300 * time.Millisecond
 	// firstConfigTimeout is how long a new session waits for the first configuration after the VM has started.
 	firstConfigTimeout = 1800 * time.Millisecond
+	// maxKeyBytes bounds the keys that callers may present.
+	maxKeyBytes = 256
 	// isolationCheckInterval is how often a VM checks whether it is cut off. It closes its idle sessions after two positive
 	// checks in a row.
 	isolationCheckInterval = 250 * time.Millisecond
@@ -55,6 +59,8 @@
 	HasBufferedInput() bool
 	// SetReadDeadline sets the deadline of ReadStart and ReadRequest. The zero time means no deadline.
 	SetReadDeadline(t time.Time) error
+	// SetMemory sets what counts the bytes of requests.
+	SetMemory(m port.Memory)
 	Close() error
 }
 
@@ -68,7 +74,8 @@
 	Log     logs.Logger
 	Metrics *metric.Set
 	// Quota limits the operations of workspaces. There is no limit if it is nil.
-	Quota Quota
+	Quota  Quota
+	Bounds Bounds
 }
 
 // Quota limits the operations of workspaces over all VMs.
@@ -83,6 +90,7 @@
 	deps     Dependencies
 	listener net.Listener
 	stopping atomic.Bool
+	callers  callers
 
 	mu         sync.Mutex
 	sessions   map[*session]struct{}
@@ -91,11 +99,18 @@
 
 // Listen starts to accept callers at address and returns the running Server. Stop ends it.
 func Listen(ctx context.Context, address string, deps Dependencies) (*Server, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", address)
+	if deps.Bounds.Account == nil {
+		deps.Bounds.Account = bounds.NewAccount(0)
+	}
+	l, err := (&net.ListenConfig{Control: deps.Bounds.control()}).Listen(ctx, "tcp4", address)
 	if err != nil {
 		return nil, result.Wrap(result.ConnectFailed, err, "listening for callers at %s", address)
 	}
 	s := &Server{deps: deps, listener: l, sessions: make(map[*session]struct{})}
+	s.callers.open = make(map[*boundedConn]struct{})
+	s.background.Go(func() {
+		every.Interval(ctx, overdueCheckInterval, func() { deps.Bounds.Account.CloseOverdue(time.Now()) })
+	})
 	s.background.Go(func() {
 		wasIsolated := false
 		every.Interval(ctx, isolationCheckInterval, func() {
@@ -117,7 +132,12 @@
 				time.Sleep(10 * time.Millisecond)
 				continue
 			}
-			s.background.Go(func() { s.serve(deps.Wrap(conn)) })
+			if c, ok := s.admit(conn); ok {
+				s.background.Go(func() {
+					defer s.leave(c)
+					s.serve(c)
+				})
+			}
 		}
 	})
 	return s, nil
@@ -132,9 +152,12 @@
 		s.deps.Log.Event(event.CallerClosed, zap.Error(err))
 		return
 	}
+	if len(key) > maxKeyBytes {
+		key = "" // No workspace has such a key, and the session would keep it.
+	}
 	if err := s.waitForAdmission(database, key); err != nil {
 		version := s.deps.View().Config().Version()
-		s.deps.Log.Event(event.CallerRefused, zap.String("database", database), zap.Uint64("config", version), zap.Error(err))
+		s.deps.Log.Event(event.CallerRefused, zap.String("database", clip(database)), zap.Uint64("config", version), zap.Error(err))
 		if version != 0 {
 			_ = conn.Refuse(result.CodeOf(err), result.Message(err))
 		}
@@ -144,6 +167,9 @@
 		return
 	}
 	ss := newSession(s, conn, database, key)
+	if c, ok := conn.(*boundedConn); ok {
+		c.session.Store(ss)
+	}
 	s.mu.Lock()
 	s.sessions[ss] = struct{}{}
 	s.mu.Unlock()
@@ -162,7 +188,7 @@
 	start := time.Now()
 	for {
 		config := s.deps.View().Config()
-		_, _, err := admit(config, database, key)
+		_, _, err := admitCaller(config, database, key)
 		if err == nil {
 			return nil
 		}
@@ -177,11 +203,11 @@
 	}
 }
 
-// admit returns the route of a database and the workspace of the caller, or why the configuration does not admit a caller with this key.
-func admit(config layout.Config, database, key string) (layout.Route, layout.Workspace, error) {
+// admitCaller returns the route of a database and the workspace of the caller, or why the configuration does not admit a caller with this key.
+func admitCaller(config layout.Config, database, key string) (layout.Route, layout.Workspace, error) {
 	r, ok := config.Route(database)
 	if !ok {
-		return layout.Route{}, layout.Workspace{}, result.New(result.UnknownService, "unknown database %s", database)
+		return layout.Route{}, layout.Workspace{}, result.New(result.UnknownService, "unknown database %s", clip(database))
 	}
 	w, ok := config.Admit(r, key)
 	if !ok {
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -40,10 +41,11 @@
 	state         query.State
 	values        map[string]string
 	prepared      map[string]query.Shape
-	required      point.Point // position that a read must see, so that it sees the session's own commits
-	leaderVersion uint64      // version of the record that named the primary when required was recorded
-	closeWhenIdle bool        // the session cannot be served here any more
-	workspace     string      // of the operation that runs; "" if callers need no key
+	bytes         sessionBytes // of values and prepared
+	required      point.Point  // position that a read must see, so that it sees the session's own commits
+	leaderVersion uint64       // version of the record that named the primary when required was recorded
+	closeWhenIdle bool         // the session cannot be served here any more
+	workspace     string       // of the operation that runs; "" if callers need no key
 
 	tx         transaction
 	rolledBack transaction // rolled back by the caller, but not yet on its server
@@ -62,9 +64,11 @@
 	expired    bool
 }
 
+// newSession returns a session. It does not keep the message that opened it, which may be long.
 func newSession(entry *Server, conn Conn, database, key string) *session {
 	return &session{
-		entry: entry, conn: conn, database: database, key: key, state: query.Idle, prepared: make(map[string]query.Shape),
+		entry: entry, conn: conn, database: strings.Clone(database), key: strings.Clone(key), state: query.Idle,
+		prepared: make(map[string]query.Shape),
 	}
 }
 
@@ -177,8 +181,8 @@
 	name := result.Lookup(a.code).Name()
 	ss.entry.deps.Metrics.Counter(Statements, name).Inc(1)
 	ss.entry.deps.Metrics.Histogram(StatementSeconds).Observe(took.Seconds())
-	ss.entry.deps.Log.Event(event.StatementDone, zap.String("id", id), zap.String("database", ss.database),
-		zap.String("workspace", ss.workspace), zap.String("result", name), zap.String("message", a.message), zap.String("server", a.server),
+	ss.entry.deps.Log.Event(event.StatementDone, zap.String("id", clip(id)), zap.String("database", ss.database),
+		zap.String("workspace", ss.workspace), zap.String("result", name), zap.String("message", clip(a.message)), zap.String("server", a.server),
 		zap.String("owner", a.owner), zap.Int("tries", a.tries), zap.Duration("took", took), zap.String("state", ss.state.String()),
 		zap.Uint64("config", ss.entry.deps.View().Config().Version()), zap.Uint64("leader", a.leaderVersion),
 		zap.String("required", ss.required.String()))
@@ -206,19 +210,11 @@
 	}
 	switch st := st.(type) {
 	case query.Set:
-		values := make(map[string]string, len(ss.values)+1)
-		for name, value := range ss.values {
-			values[name] = value
-		}
-		values[st.Name()] = st.Value()
-		ss.values = values
-		return okAnswer()
+		return ss.setValue(st)
 	case query.Prepare:
-		ss.prepared[st.Name()] = st.Shape()
-		return okAnswer()
+		return ss.prepare(st)
 	case query.Forget:
-		delete(ss.prepared, st.Name())
-		return okAnswer()
+		return ss.forget(st)
 	case query.Begin:
 		return ss.begin(st, now)
 	case query.Rollback:
@@ -232,7 +228,7 @@
 	case query.Execute:
 		shape, known := ss.prepared[st.Name()]
 		if !known {
-			return ss.failTransaction(errorAnswer(result.NotFound, "unknown prepared statement "+st.Name()))
+			return ss.failTransaction(errorAnswer(result.NotFound, "unknown prepared statement "+clip(st.Name())))
 		}
 		return ss.runStatement(statement{
 			id: id, text: st.Arguments(), writes: shape.Writes(), prepared: true, shape: shape,
@@ -246,7 +242,7 @@
 // admitOperation checks that the configuration in force admits the caller, and counts an operation that begins at now for the caller's
 // workspace. It is the only check of an operation: nothing has been reserved for the operation, and none of it has run.
 func (ss *session) admitOperation(now time.Time) (layout.Route, error) {
-	r, w, err := admit(ss.entry.deps.View().Config(), ss.database, ss.key)
+	r, w, err := admitCaller(ss.entry.deps.View().Config(), ss.database, ss.key)
 	if err != nil {
 		ss.closeWhenIdle = ss.closeWhenIdle || result.CodeOf(err) == result.AuthFailed
 		return layout.Route{}, err
