lab/suite, _scripts: test packages that measure a process while no other is tested

Cause: lab/flood checks the memory and descriptors of a process, and ran beside the tests of all other packages. Change: Options.Alone names packages whose tests run last, one after the other; make.go names lab/flood. They decide as before. Measured: lab/suite TestRun with a failing package that is tested alone.

--- a/_scripts/make.go
+++ b/_scripts/make.go
@@ -32,6 +32,9 @@
 // knownRedFile lists the tests whose failure does not fail the task "test".
 const knownRedFile = "KNOWN-RED.txt"
 
+// alone are the packages that measure what a process uses, and are tested while nothing else runs.
+var alone = []string{"verbenagate/lab/flood"}
+
 // testTimeout limits the tests of one package, so that a hanging test is reported before CI itself times out.
 const testTimeout = "4m"
 
@@ -103,7 +106,8 @@
 			return fmt.Errorf("unexpected argument %q", args[0])
 		}
 		return suite.Run(ctx, suite.Options{
-			Dir: ".", List: knownRedFile, Args: []string{"-count=1", "-timeout", testTimeout}, Deciding: decidingFlags, Out: os.Stdout,
+			Dir: ".", List: knownRedFile, Args: []string{"-count=1", "-timeout", testTimeout}, Deciding: decidingFlags, Alone: alone,
+			Out: os.Stdout,
 		})
 	}
 }
--- a/lab/suite/suite.go
+++ b/lab/suite/suite.go
@@ -21,6 +21,8 @@
 	Args []string
 	// Deciding are additional arguments of go test for the unlisted tests, whose results decide whether the run passes.
 	Deciding []string
+	// Alone are the import paths of packages whose tests run while no other package is tested.
+	Alone []string
 	// Out receives the printed results.
 	Out io.Writer
 }
@@ -80,13 +82,13 @@
 	return strings.Fields(string(out)), nil
 }
 
-// runUnlisted runs the unlisted tests. Each package with listed tests gets a separate go test, because -skip would also leave out
+// runUnlisted runs the unlisted tests. Those of packages in o.Alone run last. Each package with listed tests gets a separate go test, because -skip would also leave out
 // tests of the same name in other packages.
 func (o Options) runUnlisted(ctx context.Context, r *results, pkgs []string, list []Entry) error {
 	withListed := listedPackages(list)
 	var withoutListed []string
 	for _, p := range pkgs {
-		if !slices.Contains(withListed, p) {
+		if !slices.Contains(withListed, p) && !slices.Contains(o.Alone, p) {
 			withoutListed = append(withoutListed, p)
 		}
 	}
@@ -100,6 +102,13 @@
 			return err
 		}
 	}
+	for _, p := range o.Alone {
+		if slices.Contains(pkgs, p) && !slices.Contains(withListed, p) {
+			if err := o.goTest(ctx, r, p); err != nil {
+				return err
+			}
+		}
+	}
 	fmt.Fprint(o.Out, r.build.String())
 	for _, k := range r.failures() {
 		rec := r.records[k]
--- a/lab/suite/suite_test.go
+++ b/lab/suite/suite_test.go
@@ -54,14 +54,16 @@
 // Guards against a run that ignores failures of unlisted tests, or that does not run the listed ones.
 func TestRun(t *testing.T) {
 	dir := t.TempDir()
-	datadriven.RunTest(t, "_fixtures/run", func(_ *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, "_fixtures/run", func(t *testing.T, d *datadriven.TestData) string {
 		if d.Cmd == "file" {
 			path := filepath.Join(dir, d.CmdArgs[0].Key)
 			err := errors.Join(os.MkdirAll(filepath.Dir(path), 0o755), os.WriteFile(path, []byte(d.Input+"\n"), 0o644))
 			return fmt.Sprintln(err)
 		}
 		var out strings.Builder
-		err := Run(context.Background(), Options{Dir: dir, List: filepath.Join(dir, "KNOWN-RED.txt"), Out: &out})
+		var alone string
+		d.MaybeScanArgs(t, "alone", &alone)
+		err := Run(context.Background(), Options{Dir: dir, List: filepath.Join(dir, "KNOWN-RED.txt"), Alone: []string{alone}, Out: &out})
 		text := strings.ReplaceAll(fmt.Sprintf("%serror: %v\n", sortSummaries(out.String()), err), dir, "DIR")
 		return elapsedTimes.ReplaceAllString(text, "TIME")
 	})
