io/bounds, platform: let long messages wait for room with little in their hands

Many messages that arrive at once were each half received and waited for the bytes of the others, so most were refused.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -83,7 +83,7 @@
 
 // Take takes n bytes for h. It returns false if they are not available, or if h is to be closed.
 func (a *Account[T]) Take(h *Holder[T], use Use, n int64) bool {
-	if h.evicted || a.limit > 0 && (a.used+n > a.limit || a.byUse[use]+n > a.limit/8*shares[use]) {
+	if h.evicted || a.limit > 0 && (a.used+n > a.limit || a.byUse[use]+n > a.limit*shares[use]/8) {
 		return false
 	}
 	a.add(h, use, n)
--- a/io/bounds/bounds.go
+++ b/io/bounds/bounds.go
@@ -98,10 +98,15 @@
 
 var _ port.Memory = (*Holding)(nil)
 
-// Grow implements port.Memory: it takes n bytes for a message, and waits for them if needed.
+// Grow implements port.Memory: it takes n bytes for a message, and waits for them if needed. While it does, the VM does not wait for
+// the other end.
 func (h *Holding) Grow(n int) error {
 	h.Wait()
-	return h.take(budget.Message, int64(n), roomTimeout)
+	err := h.take(budget.Message, int64(n), roomTimeout)
+	if err == nil {
+		h.Wait()
+	}
+	return err
 }
 
 // GrowAnswer takes n bytes for an answer.
@@ -129,6 +134,8 @@
 		var chosen []*Holding
 		if !ok && !evicted {
 			chosen = h.account.account.Evict(n, now)
+			h.waiting = false
+			h.account.account.Resume(&h.holder)
 		}
 		h.account.mu.Unlock()
 		for _, c := range chosen {
--- a/lab/flood/flood_test.go
+++ b/lab/flood/flood_test.go
@@ -46,7 +46,10 @@
 		if err != nil {
 			return err
 		}
-		return ordinary.ask("WRITE large " + strings.Repeat("d", maxMessage-100))
+		if err = ordinary.ask("WRITE large " + strings.Repeat("d", maxMessage-100)); err != nil {
+			_ = ordinary.Close()
+		}
+		return err
 	}).WithTimeout(time.Minute).Should(gomega.Succeed(), "an ordinary session before the crowd")
 	before, _ := s.Peak()
 	f(s)
@@ -347,6 +350,16 @@
 	}
 }
 
+// Guards against sessions that are opened and not used, and shut out all later callers.
+func TestTooManySessions(t *testing.T) {
+	play(t, func(s *Site) {
+		callers := s.sessions(3 * crowd)
+		time.Sleep(2 * time.Second) // until statements of callers that left before the crowd came have ended
+		callers = append(callers, s.sessions(crowd/10)...)
+		t.Cleanup(func() { closeAll(callers) })
+	})
+}
+
 // Guards against running out of descriptors by connections, of which half never open a session.
 func TestTooManyConnections(t *testing.T) {
 	play(t, func(s *Site) {
