--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -27,7 +27,7 @@
 	GraceS     int     `yaml:"grace_s"`
 	VMs        int     `yaml:"vms"`
 	Cores      float64 `yaml:"cores"`
-	MemoryMB   int     `yaml:"memory_mb"`
+	MemoryMB   float64 `yaml:"memory_mb"`
 	FDs        int     `yaml:"descriptors"`
 	Log        struct {
 		Level          string `yaml:"level"`
@@ -142,7 +142,7 @@
 func (s Settings) Cores() float64 { return s.k.Cores }
 
 // Memory returns the bytes of memory that the process may use, 0 if unknown.
-func (s Settings) Memory() int64 { return int64(s.k.MemoryMB) << 20 }
+func (s Settings) Memory() int64 { return int64(s.k.MemoryMB * (1 << 20)) }
 
 // Descriptors returns the file descriptors that the process may have open, 0 if unknown.
 func (s Settings) Descriptors() int { return s.k.FDs }
