core/evict, io/pool: decide which connections are kept, opened and closed for workspaces

Change: evict.Cache closes the connection whose n-th use by its workspace weighs least (half-life 30 s), grants connections only to statements about to run, opens in no more than half of the slots, and bounds how long a workspace without work waits. The settled owner of a server has three quarters of the owners' connections, others a quarter. One timeout no longer closes all idle connections of a server that answers. Deployments without workspaces have neither limit nor other shares.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -77,6 +77,24 @@
 	return item, true
 }
 
+// Order appends the waiting statements to list in the order in which Pop would return them at now, and returns it with the number of
+// those that can still be answered in time, which come first.
+func (q *Queue[T]) Order(list []T, now time.Time, serviceTime time.Duration) ([]T, int) {
+	start := len(list)
+	for _, w := range q.waiting {
+		if !w.rank.isLate(now, serviceTime) {
+			list = append(list, w.item)
+		}
+	}
+	inTime := len(list) - start
+	for _, w := range q.waiting {
+		if w.rank.isLate(now, serviceTime) {
+			list = append(list, w.item)
+		}
+	}
+	return list, inTime
+}
+
 // Ahead returns how many of the waiting statements would run before a new one of this rank.
 func (q *Queue[T]) Ahead(r Rank, now time.Time, serviceTime time.Duration) int {
 	n := 0
--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -224,6 +224,18 @@
 // OwnerShare returns how many connections the owner of a server that accepts limit connections may open.
 func OwnerShare(limit int) int { return max((limit-otherConnections)/concurrentOwners, minShare) }
 
+// takeoverDivisor is the part of the owners' connections that a VM may open that is not the only owner for certain. It needs some for
+// each slot and for transactions; connections that it would only keep idle are worth more at the owner.
+const takeoverDivisor = 4
+
+// TakeoverShare returns how many connections a VM may open, where they belong to workspaces, that takes over from the owner of a server
+// that accepts limit connections, or that has just become the owner.
+func TakeoverShare(limit int) int { return max((limit-otherConnections)/takeoverDivisor, minShare) }
+
+// SettledShare returns how many connections the owner of a server that accepts limit connections may open, where they belong to
+// workspaces, once no other VM takes itself for the owner.
+func SettledShare(limit int) int { return max(limit-otherConnections-TakeoverShare(limit), minShare) }
+
 // Overcommitted reports whether n VMs that all open their full share exceed a server's connection limit minus the reserved
 // connections. Few VMs open their full share at the same time; the server refuses connections beyond its limit, and idle
 // connections must be closed early.
--- a/core/layout/layout_test.go
+++ b/core/layout/layout_test.go
@@ -52,7 +52,15 @@
 			t.Fatalf("two owners and the watchers hold %d connections to a server that accepts %d", n, limit)
 		}
 	}
-	if OwnerShare(0) < 1 {
+	for limit := 2*minShare + otherConnections; limit < 500; limit++ {
+		if n := SettledShare(limit) + TakeoverShare(limit) + otherConnections; n > limit {
+			t.Fatalf("the owner, the one that takes over and the watchers hold %d connections to a server that accepts %d", n, limit)
+		}
+		if TakeoverShare(limit) > SettledShare(limit) {
+			t.Fatalf("of %d connections, the owner has fewer than the one that takes over", limit)
+		}
+	}
+	if min(OwnerShare(0), TakeoverShare(0), SettledShare(0)) < 1 {
 		t.Fatal("an owner may open no connection")
 	}
 }
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -89,7 +89,7 @@
 			ok = false
 		}
 		if !ok {
-			p = &Pool{server: s, dialer: g.dialer, clock: g.clock, log: g.log}
+			p = newPool(s, g.dialer, g.clock, g.log)
 			g.pools[s.ID()] = p
 		}
 		p.setLimits(limitsOf(s))
@@ -276,10 +276,10 @@
 	return ok && p.LastDialRefused()
 }
 
-// CloseIdleConns closes the idle connections to a server. It is called after one of them was found broken.
+// CloseIdleConns closes the idle connections to a server unless they are known to work. It is called after one of them was found broken.
 func (g *Group) CloseIdleConns(id string) {
 	if p, ok := g.Pool(id); ok {
-		p.dropIdle()
+		p.dropSuspects()
 	}
 }
 
@@ -374,11 +374,22 @@
 
 // limitsFor returns the limits of this VM's use of a server that accepts limit connections.
 func (s *Set) limitsFor(server layout.Server, limit int, owners []lead.Member) limits {
+	workspaces := s.view != nil && s.view.Config().NeedsKeys()
 	if slices.ContainsFunc(owners, func(m lead.Member) bool { return m.Name() == s.vm }) {
-		return limits{maxOpen: layout.OwnerShare(limit), maxRunning: server.Slots(), idle: maxIdleTime, shared: true}
+		l := limits{
+			maxOpen: layout.OwnerShare(limit), maxRunning: server.Slots(), idle: maxIdleTime, shared: true, workspaces: workspaces,
+		}
+		if workspaces {
+			l.maxOpen = layout.TakeoverShare(limit)
+			if owners[0].Name() == s.vm {
+				l.settled = layout.SettledShare(limit)
+			}
+		}
+		return l
 	}
 	l := limits{
 		maxOpen: layout.Share(limit, s.vmCount), maxRunning: admit.MaxRunning(server.Slots(), s.vmCount), idle: maxIdleTime,
+		workspaces: workspaces,
 	}
 	if layout.Overcommitted(limit, s.vmCount) {
 		l.idle = maxIdleTimeOvercommitted
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -3,8 +3,12 @@
 
 import (
 	"context"
+	"errors"
+	"math"
+	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -12,6 +16,7 @@
 
 	"verbenagate/core/admit"
 	"verbenagate/core/event"
+	"verbenagate/core/evict"
 	"verbenagate/core/exec"
 	"verbenagate/core/layout"
 	"verbenagate/core/port"
@@ -33,6 +38,9 @@
 	// serverFullBackoff is how long Acquire opens no connection after the server refused one because it has too many or is
 	// overloaded.
 	serverFullBackoff = 150 * time.Millisecond
+	// ownerSettleTime is how long a VM has been the owner of a server before it counts on being the only one. It is twice the interval at
+	// which a VM reads the list of VMs if nothing calls for it sooner.
+	ownerSettleTime = 10 * time.Second
 )
 
 // Conn is a connection to a database server, with the session values and prepared statements that are set on it.
@@ -47,6 +55,7 @@
 	acquiredAt    time.Time // when its current user acquired it or began to open it
 	usefulUntil   time.Time // when the answer to its current user's statement becomes useless
 	forStatus     bool      // opened for a status request
+	starting      bool      // it was granted to a statement that has no slot yet
 	broken        bool
 }
 
@@ -66,8 +75,13 @@
 	c.broken = true // until the whole answer has been read
 	sent = true
 	defer c.recoverPanic(&err)
+	start := c.pool.clock()
 	r, sent, err = c.ServerConn.Do(timeout, op)
 	c.broken = wasBroken || err != nil
+	c.pool.recordAnswer(start, err)
+	if _, begins := op.(exec.Begin); begins {
+		c.pool.recordStart(c)
+	}
 	return r, sent, err
 }
 
@@ -97,6 +111,7 @@
 	if !c.pool.acquireSlot(timeout, admit.NewRank(priority, usefulUntil)) {
 		return exec.Result{}, false, result.New(result.QueueFull, "timed out waiting for a free slot of server %s", c.Server())
 	}
+	c.pool.recordStart(c)
 	slotAcquired := c.pool.clock()
 	defer func() { c.pool.releaseSlot(c.pool.clock().Sub(slotAcquired)) }()
 	return c.Do(timeout-slotAcquired.Sub(start), op)
@@ -168,11 +183,18 @@
 // Release returns the connection to its pool. The connection must be outside a transaction unless it is broken.
 func (c *Conn) Release() { c.pool.release(c) }
 
-// connWaiter is a request that waits for a connection. The channel delivers the connection, or nil if the request may open one
-// itself. It is closed if the pool is closed.
+// connWaiter is a request that waits for a connection. The channel is closed if the pool is closed.
 type connWaiter struct {
-	workspace string
-	granted   chan *Conn
+	evict.Request
+	values  map[string]string // session values that the connection should preferably have
+	rank    admit.Rank
+	granted chan grant
+}
+
+// grant is an idle connection, or the error for which there is none, or neither if the request opens a connection itself.
+type grant struct {
+	conn *Conn
+	err  error
 }
 
 // slotWaiter is a statement that waits for a slot. The channel is closed when the slot is granted.
@@ -185,26 +207,40 @@
 	clock  func() time.Time
 	log    logs.Logger
 
+	answeredAt   atomic.Int64 // when the latest request was answered, in Unix nanoseconds
+	unansweredAt atomic.Int64 // when the latest failed request was sent; math.MaxInt64 if it failed before its timeout
+
 	mu               sync.Mutex
 	limits           limits
-	open             int
+	conns            *evict.Cache
 	idle             []*Conn
 	connWaiters      admit.Queue[*connWaiter]
+	waitersInOrder   []*connWaiter // reused by grantConns
 	gate             admit.Gate
 	running          int // statements that occupy a slot of the server
 	slotWaiters      admit.Queue[*slotWaiter]
-	dialBlockedUntil time.Time // until then Acquire opens no connection
+	dialBlockedUntil time.Time  // until then Acquire opens no connection
+	room             evict.Room // what the server accepts until dialBlockedUntil
 	closed           bool
 	lastDialRefused  bool // the server's machine refused the last dial with ECONNREFUSED
 	lastDialFailed   bool
+	settledAt        time.Time // when the owner of the server may open limits.settled connections
+	opened           int       // connections since the start of the pool
+	replaced         int       // idle connections that were closed for another workspace
+}
+
+func newPool(server layout.Server, dialer port.Dialer, clock func() time.Time, log logs.Logger) *Pool {
+	return &Pool{server: server, dialer: dialer, clock: clock, log: log, conns: evict.NewCache(evict.NewLimits(0))}
 }
 
 // limits are the limits of this VM's use of one server.
 type limits struct {
 	maxOpen    int           // connections
+	settled    int           // connections that the owner of the server may open once no other VM takes itself for it; 0 for others
 	maxRunning int           // statements that occupy a slot
 	idle       time.Duration // after which a connection is closed
 	shared     bool          // this VM holds the connections for other VMs, too
+	workspaces bool          // connections belong to workspaces
 }
 
 // AcquireRequest is a request for a connection. If no connection is available, the request is refused at once unless the answer to
@@ -248,76 +284,102 @@
 		p.mu.Unlock()
 		return nil, result.New(result.Overloaded, "%d statements are ahead in the queue for a slot of server %s", ahead, p.server.ID())
 	}
-	if c := p.takeIdle(request.Workspace, request.SessionValues); c != nil {
-		p.mu.Unlock()
-		return c, nil
+	w := &connWaiter{
+		Request: evict.NewRequest(request.Workspace, request.Priority), values: request.SessionValues, rank: rank,
+		granted: make(chan grant, 1),
 	}
-	removed, ok := p.makeRoom(now)
-	var w *connWaiter
-	var err error
-	if ok {
-		p.open++
-	} else {
-		w, err = p.enqueue(request, now, rank)
+	ahead := p.connWaiters.Ahead(rank, now, p.gate.ServiceTime())
+	p.connWaiters.Push(w, rank)
+	p.grantConns(now)
+	if len(w.granted) == 0 && !p.gate.Admits(ahead, p.limits.maxOpen, request.AnswerWithin) {
+		p.connWaiters.Remove(w)
+		wait := p.gate.ExpectedWait(ahead, p.limits.maxOpen)
+		p.mu.Unlock()
+		return nil, result.New(result.Overloaded, "%d requests are ahead in the queue for server %s; the expected wait is %s",
+			ahead, p.server.ID(), wait)
 	}
 	p.mu.Unlock()
-	closeAll(removed)
-	switch {
-	case ok:
-		return p.dial(deadline.Sub(now), request.Workspace)
-	case err != nil:
-		return nil, err
-	}
 	return p.waitForConn(w, deadline)
 }
 
-// enqueue adds a request to those that wait for a connection, unless the wait is too long for it. The caller holds mu.
-func (p *Pool) enqueue(request AcquireRequest, now time.Time, rank admit.Rank) (*connWaiter, error) {
-	ahead := p.connWaiters.Ahead(rank, now, p.gate.ServiceTime())
-	if !p.gate.Admits(ahead, p.limits.maxOpen, request.AnswerWithin) {
-		return nil, result.New(result.Overloaded, "%d requests are ahead in the queue for server %s; the expected wait is %s",
-			ahead, p.server.ID(), p.gate.ExpectedWait(ahead, p.limits.maxOpen))
+// grantConns grants waiting requests connections, or lets them open some, as far as the limits allow. It must be called after each
+// change that may let a request go on. The caller holds mu.
+func (p *Pool) grantConns(now time.Time) {
+	if p.closed || p.connWaiters.Len() == 0 {
+		return
 	}
-	w := &connWaiter{workspace: request.Workspace, granted: make(chan *Conn, 1)}
-	p.connWaiters.Push(w, rank)
-	return w, nil
-}
-
-// makeRoom reports whether one more connection may be opened now. If the pool has as many as it may open, makeRoom first removes idle
-// ones, those that have been idle the longest, and returns them; the caller must close them before it opens one. The server may refuse
-// a connection because it has too many, but not in place of one that was closed. The caller holds mu.
-func (p *Pool) makeRoom(now time.Time) (removed []*Conn, ok bool) {
-	if p.open < p.limits.maxOpen && !now.Before(p.dialBlockedUntil) {
-		return nil, true
-	}
-	for len(p.idle) > 0 {
-		removed = append(removed, p.idle[0])
-		p.idle = slices.Delete(p.idle, 0, 1)
-		p.open--
-		if p.open < p.limits.maxOpen {
-			return removed, true
+	p.closeExcess(now)
+	room := evict.RoomForMore
+	if now.Before(p.dialBlockedUntil) {
+		room = p.room
+	}
+	for p.connWaiters.Len() > 0 {
+		waiters, inTime := p.connWaiters.Order(p.waitersInOrder[:0], now, p.gate.ServiceTime())
+		p.waitersInOrder = waiters
+		for i, w := range waiters {
+			w.SetLate(i >= inTime)
+		}
+		i, action := p.conns.Next(len(waiters), func(i int) *evict.Request { return &waiters[i].Request }, room)
+		if action == evict.Wait {
+			return
 		}
+		w := waiters[i]
+		p.connWaiters.Remove(w)
+		if action == evict.Reuse {
+			c := p.takeIdle(w.Workspace(), w.values)
+			c.starting = true
+			p.conns.Take(c.workspace, now)
+			w.granted <- grant{conn: c}
+			continue
+		}
+		if action == evict.Replace {
+			p.closeVictim(now)
+			p.replaced++
+		}
+		p.conns.Begin(w.Workspace(), now)
+		w.granted <- grant{}
 	}
-	return removed, false
 }
 
-// closeConns closes connections that are neither idle nor in use any more, and lets waiting requests open others. They count as open
-// until then, so that the server's limit is not exceeded.
-func (p *Pool) closeConns(conns []*Conn) {
-	closeAll(conns)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.open -= len(conns)
-	for range conns {
-		p.letNextWaiterDial()
+// closeVictim closes the idle connection that is needed least. It returns false if none is idle. The caller holds mu.
+func (p *Pool) closeVictim(now time.Time) bool {
+	workspace, ok := p.conns.Victim(now)
+	if !ok {
+		return false
+	}
+	i := slices.IndexFunc(p.idle, func(c *Conn) bool { return c.workspace == workspace })
+	c := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
+	p.closeConn(c)
+	return true
+}
+
+// closeExcess closes idle connections while there are more than the limit allows. The caller holds mu.
+func (p *Pool) closeExcess(now time.Time) {
+	for p.conns.Excess() {
+		if !p.closeVictim(now) {
+			return
+		}
 	}
 }
 
-// closeAll closes connections.
-func closeAll(conns []*Conn) {
-	for _, c := range conns {
-		_ = c.Close()
+// closeConn closes a connection that is counted as idle. It does so before another one may be opened, so that the server's limit is not
+// exceeded. The caller holds mu.
+func (p *Pool) closeConn(c *Conn) {
+	_ = c.Close()
+	p.conns.Close(c.workspace)
+}
+
+// recordStart records that the statement to which a connection was granted has a slot or needs none, or that it does not run at all.
+func (p *Pool) recordStart(c *Conn) {
+	if !c.starting {
+		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.starting = false
+	p.conns.Started()
+	p.grantConns(p.clock())
 }
 
 // AcquireBeyondLimit returns an idle connection of any workspace, or else a new one even if that exceeds the pool's limit. It is for
@@ -331,56 +393,79 @@
 		return nil, result.New(result.NoServer, "server %s has been removed or replaced", p.server.ID())
 	case len(p.idle) > 0:
 		c := p.takeIdleAt(len(p.idle) - 1)
+		p.conns.Borrow(c.workspace)
 		p.mu.Unlock()
 		return c, nil
 	}
-	p.open++
+	p.conns.BeginBeyond("")
 	p.mu.Unlock()
 	c, err := p.dial(timeout, "")
-	if err == nil {
-		c.forStatus = true
+	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.conns.Release("")
+		p.conns.Close("")
+		p.recordDialFailure(err)
+		return nil, err
 	}
-	return c, err
+	c.forStatus = true
+	return c, nil
 }
 
 // slotsAhead returns how many statements run or wait ahead of a new one beyond those that have a slot at once. It is negative if a
 // slot is free. The caller holds mu.
 func (p *Pool) slotsAhead(now time.Time, rank admit.Rank) int {
-	return p.running + p.slotWaiters.Ahead(rank, now, p.gate.ServiceTime()) - p.limits.maxRunning
+	ahead := p.running + p.slotWaiters.Ahead(rank, now, p.gate.ServiceTime()) - p.limits.maxRunning
+	if p.limits.workspaces {
+		// Statements wait for a connection until they are about to run.
+		ahead += p.connWaiters.Ahead(rank, now, p.gate.ServiceTime()) + max(p.conns.Starting()-p.slotWaiters.Len(), 0)
+	}
+	return ahead
 }
 
 func (p *Pool) waitForConn(w *connWaiter, deadline time.Time) (*Conn, error) {
+	select {
+	case g, ok := <-w.granted:
+		return p.useGrant(w, g, ok, deadline)
+	default:
+	}
 	t := time.NewTimer(deadline.Sub(p.clock()))
 	defer t.Stop()
 	select {
-	case c, ok := <-w.granted:
-		if !ok {
-			return nil, result.New(result.NoServer, "server %s has been removed or replaced", p.server.ID())
-		}
-		if c != nil {
-			return c, nil
-		}
-		return p.dial(deadline.Sub(p.clock()), w.workspace)
+	case g, ok := <-w.granted:
+		return p.useGrant(w, g, ok, deadline)
 	case <-t.C:
 	}
+	err := result.New(result.QueueFull, "timed out waiting for a connection to server %s", p.server.ID())
 	p.mu.Lock()
 	if p.connWaiters.Remove(w) {
 		p.mu.Unlock()
-		return nil, result.New(result.QueueFull, "timed out waiting for a connection to server %s", p.server.ID())
+		return nil, err
 	}
 	p.mu.Unlock()
 	// The request was granted a connection, or the pool was closed, at the moment of the timeout.
-	c, ok := <-w.granted
+	g, ok := <-w.granted
 	switch {
-	case ok && c != nil:
-		p.release(c)
-	case ok:
+	case ok && g.conn != nil:
+		p.release(g.conn)
+	case ok && g.err == nil:
 		p.mu.Lock()
-		p.open--
-		p.letNextWaiterDial()
-		p.mu.Unlock()
+		defer p.mu.Unlock()
+		p.endDial(w)
+		p.grantConns(p.clock())
+	}
+	return nil, err
+}
+
+// useGrant returns the connection of a grant, or opens one. With ok false, the pool has been closed.
+func (p *Pool) useGrant(w *connWaiter, g grant, ok bool, deadline time.Time) (*Conn, error) {
+	switch {
+	case !ok:
+		return nil, result.New(result.NoServer, "server %s has been removed or replaced", p.server.ID())
+	case g.conn != nil || g.err != nil:
+		return g.conn, g.err
 	}
-	return nil, result.New(result.QueueFull, "timed out waiting for a connection to server %s", p.server.ID())
+	return p.dialFor(w, deadline)
 }
 
 // takeIdle removes and returns the idle connection of a workspace with the highest matchScore, the latest released one if several have
@@ -424,31 +509,95 @@
 	return n
 }
 
+// dialFor opens a connection for a request that may do so. Where connections belong to workspaces, many are opened; the request then
+// waits for a slot, since the server needs one to accept a connection.
+func (p *Pool) dialFor(w *connWaiter, deadline time.Time) (*Conn, error) {
+	p.mu.Lock()
+	needsSlot := p.limits.workspaces
+	p.mu.Unlock()
+	if needsSlot && !p.acquireSlot(deadline.Sub(p.clock()), w.rank) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.endDial(w)
+		p.grantConns(p.clock())
+		return nil, result.New(result.QueueFull, "timed out waiting for a free slot of server %s", p.server.ID())
+	}
+	c, err := p.dial(deadline.Sub(p.clock()), w.Workspace())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if needsSlot {
+		p.running--
+		p.grantSlots()
+	}
+	if err != nil {
+		p.endDial(w)
+		p.recordDialFailure(err)
+		return nil, err
+	}
+	p.conns.Opened()
+	c.starting = true
+	p.grantConns(p.clock())
+	return c, nil
+}
+
+// endDial records that a request that might have opened a connection has not. The caller holds mu.
+func (p *Pool) endDial(w *connWaiter) {
+	p.conns.Opened()
+	p.conns.Started()
+	p.conns.Release(w.Workspace())
+	p.conns.Close(w.Workspace())
+}
+
 func (p *Pool) dial(timeout time.Duration, workspace string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), max(min(timeout, dialTimeout), time.Millisecond))
 	defer cancel()
 	start := p.clock()
 	sc, err := p.dialer.Dial(ctx, p.server.Address(), p.server.Group(), p.server.ID(), workspace)
-	if err == nil {
-		p.recordDialSuccess()
-		return &Conn{
-			ServerConn: sc, pool: p, workspace: workspace, sessionValues: make(map[string]string), preparedNames: make(map[query.Shape]string),
-			acquiredAt: start,
-		}, nil
+	if err != nil {
+		return nil, err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.recordDialSuccess()
+	return &Conn{
+		ServerConn: sc, pool: p, workspace: workspace, sessionValues: make(map[string]string), preparedNames: make(map[query.Shape]string),
+		acquiredAt: start,
+	}, nil
+}
+
+// recordDialFailure records that the server has not accepted a connection. The caller holds mu.
+func (p *Pool) recordDialFailure(err error) {
 	if !p.lastDialFailed {
 		p.lastDialFailed = true
 		p.log.Event(event.EndptDown, zap.String("server", p.server.ID()), zap.Error(err))
 	}
-	p.open--
 	p.lastDialRefused = result.HasCause(err, syscall.ECONNREFUSED)
-	if code := result.CodeOf(err); code == result.TooManyCallers || code == result.Overloaded {
+	switch code := result.CodeOf(err); {
+	case code == result.TooManyCallers || code == result.Overloaded:
+		p.room = evict.RoomForReplacement
+		if code == result.Overloaded {
+			p.room = evict.NoRoom
+		}
 		p.dialBlockedUntil = p.clock().Add(serverFullBackoff)
+		time.AfterFunc(serverFullBackoff, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.grantConns(p.clock())
+		})
+	case p.limits.workspaces:
+		p.refuseWaiters(err)
+	}
+	p.grantConns(p.clock())
+}
+
+// refuseWaiters refuses the waiting requests whose workspace has no connection. Only few connections are opened at a time, so that on a
+// server that does not answer, they would find out one after the other. The caller holds mu.
+func (p *Pool) refuseWaiters(err error) {
+	waiters, _ := p.connWaiters.Order(nil, p.clock(), p.gate.ServiceTime())
+	for _, w := range waiters {
+		if !p.conns.Has(w.Workspace()) {
+			p.connWaiters.Remove(w)
+			w.granted <- grant{err: err}
+		}
 	}
-	p.letNextWaiterDial()
-	return nil, err
 }
 
 // recordDialSuccess records that the server has accepted a connection.
@@ -459,6 +608,7 @@
 		p.log.Event(event.EndptUp, zap.String("server", p.server.ID()))
 	}
 	p.lastDialRefused, p.lastDialFailed = false, false
+	p.opened++
 }
 
 // LastDialRefused reports whether the server's machine refused the last connection, which means that the server process is not
@@ -513,91 +663,108 @@
 	}
 }
 
-// letNextWaiterDial lets the next waiting request open a connection if the limit allows, and reports whether it did. The caller holds
-// mu.
-func (p *Pool) letNextWaiterDial() bool {
-	if p.open >= p.limits.maxOpen || p.closed {
-		return false
-	}
-	w, ok := p.connWaiters.Pop(p.clock(), p.gate.ServiceTime())
-	if ok {
-		p.open++
-		w.granted <- nil
-	}
-	return ok
-}
-
-// letWaitersDial lets waiting requests open connections as far as the limit allows, unless the server has just refused one. The caller
-// holds mu.
-func (p *Pool) letWaitersDial(now time.Time) {
-	if now.Before(p.dialBlockedUntil) {
-		return
-	}
-	for p.letNextWaiterDial() {
-	}
-}
-
 func (p *Pool) release(c *Conn) {
 	c.releasedAt = p.clock()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.gate.RecordHoldTime(c.releasedAt.Sub(c.acquiredAt))
-	if c.broken || p.closed || p.open > p.limits.maxOpen {
-		p.mu.Unlock()
-		p.closeConns([]*Conn{c})
-		return
-	}
-	w, ok := p.connWaiters.Pop(c.releasedAt, p.gate.ServiceTime())
-	switch {
-	case !ok:
+	if c.starting {
+		c.starting = false
+		p.conns.Started()
+	}
+	closing := c.broken || p.closed || p.conns.Excess()
+	p.conns.Release(c.workspace)
+	if closing {
+		p.closeConn(c)
+	} else {
 		p.idle = append(p.idle, c)
-		p.mu.Unlock()
-	case w.workspace == c.workspace:
-		c.acquiredAt = c.releasedAt
-		p.mu.Unlock()
-		w.granted <- c
-	default:
-		p.mu.Unlock()
-		_ = c.Close() // before the waiting request opens its own, so that the server's limit is not exceeded
-		w.granted <- nil
 	}
+	p.grantConns(c.releasedAt)
 }
 
 // setLimits sets the limits of the pool.
 func (p *Pool) setLimits(l limits) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.clock()
+	if l.settled > 0 && p.limits.settled == 0 {
+		p.settledAt = now.Add(ownerSettleTime)
+	}
 	p.limits = l
-	p.letWaitersDial(p.clock())
+	p.applyLimits(now)
 	p.grantSlots()
 }
 
+// applyLimits applies the limits of connections that hold at now. The caller holds mu.
+func (p *Pool) applyLimits(now time.Time) {
+	if p.limits.settled > 0 && !now.Before(p.settledAt) {
+		p.limits.maxOpen = p.limits.settled
+	}
+	limits := evict.NewLimits(p.limits.maxOpen)
+	if p.limits.workspaces {
+		limits = evict.NewWorkspaceLimits(p.limits.maxOpen, p.limits.maxRunning)
+	}
+	if limits != p.conns.Limits() {
+		p.conns.SetLimits(limits)
+		if p.limits.workspaces {
+			p.closeExcess(now)
+		}
+	}
+	p.grantConns(now)
+}
+
 // trim closes the idle connections that have reached the idle timeout, and those beyond the connection limit.
 func (p *Pool) trim(now time.Time) {
 	p.mu.Lock()
-	var expired []*Conn
+	defer p.mu.Unlock()
 	p.idle = slices.DeleteFunc(p.idle, func(c *Conn) bool {
 		timeout := p.limits.idle
 		if c.forStatus {
 			timeout = max(timeout, statusIdleTime)
 		}
-		if now.Sub(c.releasedAt) < timeout && p.open-len(expired) <= p.limits.maxOpen {
+		if now.Sub(c.releasedAt) < timeout {
 			return false
 		}
-		expired = append(expired, c)
+		p.closeConn(c)
 		return true
 	})
-	p.letWaitersDial(now) // those that came while the server refused connections
+	p.closeExcess(now)
+	p.applyLimits(now)
+}
+
+// recordAnswer records the answer to a request sent at start.
+func (p *Pool) recordAnswer(start time.Time, err error) {
+	switch {
+	case err == nil:
+		p.answeredAt.Store(p.clock().UnixNano())
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		p.unansweredAt.Store(start.UnixNano())
+	default:
+		p.unansweredAt.Store(math.MaxInt64)
+	}
+}
+
+// dropSuspects closes the idle connections, as one connection was found broken and the others may be so, too. Where connections belong
+// to workspaces, they are many and expensive: if a request has merely timed out, and the server has answered another one that ended
+// later, they are kept.
+func (p *Pool) dropSuspects() {
+	p.mu.Lock()
+	workspaces := p.limits.workspaces
 	p.mu.Unlock()
-	p.closeConns(expired)
+	if !workspaces || p.answeredAt.Load() <= p.unansweredAt.Load() {
+		p.dropIdle()
+	}
 }
 
-// dropIdle closes all idle connections, for instance after one of them was found broken.
+// dropIdle closes all idle connections.
 func (p *Pool) dropIdle() {
 	p.mu.Lock()
-	idle := p.idle
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		p.closeConn(c)
+	}
 	p.idle = nil
-	p.mu.Unlock()
-	p.closeConns(idle)
+	p.grantConns(p.clock())
 }
 
 // close closes the pool and its idle connections and fails all waiting requests. Connections in use are closed on release.
@@ -636,7 +803,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return State{
-		Server: p.server.ID(), Limit: p.limits.maxOpen, Open: p.open, Idle: len(p.idle), Waiting: p.connWaiters.Len(),
+		Server: p.server.ID(), Limit: p.limits.maxOpen, Open: p.conns.Open(), Idle: len(p.idle), Waiting: p.connWaiters.Len(),
 		Running: p.running, MaxRunning: p.limits.maxRunning, Shared: p.limits.shared, Queue: p.slotWaiters.Len(),
 	}
 }
--- a/io/pool/workspace_test.go
+++ b/io/pool/workspace_test.go
@@ -68,9 +68,7 @@
 // newCountedPool returns a pool that may open maxOpen connections.
 func newCountedPool(maxOpen int) (*countingDialer, *Pool) {
 	d := &countingDialer{}
-	p := &Pool{
-		server: layout.NewServer("s", "ledger", "", "dc", 3, false, false, 1), dialer: d, clock: time.Now, log: nopLogger{},
-	}
+	p := newPool(layout.NewServer("s", "ledger", "", "dc", 3, false, false, 1), d, time.Now, nopLogger{})
 	p.setLimits(limits{maxOpen: maxOpen, maxRunning: 3, idle: maxIdleTime})
 	return d, p
 }
