io/pool: show connections of workspaces in events, metrics and the state

Change: events 409 and 410 (debug), counters of connections opened and of idle ones closed for another workspace, and in /state the connections of each workspace, those being opened and both counts for each pool.

--- a/core/admit/queue_test.go
+++ b/core/admit/queue_test.go
@@ -171,3 +171,28 @@
 		t.Error("a statement that has given up must be removed once")
 	}
 }
+
+// Guards against an order that differs from the one in which statements are taken out one by one.
+func TestOrderIsThatOfPop(t *testing.T) {
+	start := time.Unix(0, 0)
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 100 {
+		var q Queue[int]
+		for i := range r.IntN(20) {
+			q.Push(i, NewRank(r.IntN(3), start.Add(time.Duration(r.IntN(100))*time.Millisecond)))
+		}
+		order, inTime := q.Order(nil, start.Add(30*time.Millisecond), 20*time.Millisecond)
+		for i, want := range order {
+			late := q.Ahead(NewRank(3, start), start.Add(30*time.Millisecond), 20*time.Millisecond) == 0
+			if late != (i >= inTime) {
+				t.Fatalf("%d statements are said to be in time, number %d is late: %v", inTime, i, late)
+			}
+			if got, _ := q.Pop(start.Add(30*time.Millisecond), 20*time.Millisecond); got != want {
+				t.Fatalf("statement %d is taken out, %d is next in order", got, want)
+			}
+		}
+		if q.Len() > 0 {
+			t.Fatalf("%d statements are missing in the order", q.Len())
+		}
+	}
+}
--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -26,6 +26,8 @@
 	ServerSeen         ID = 406
 	ServerGone         ID = 407
 	ServerRefused      ID = 408
+	ConnOpened         ID = 409
+	ConnReplaced       ID = 410
 	PeerConnected      ID = 500
 	PeerLost           ID = 501
 	PeerBadMessage     ID = 502
@@ -93,6 +95,8 @@
 	{ServerSeen, LayerEndpoint, "server registered or changed", "None."},
 	{ServerGone, LayerEndpoint, "server removed from the register", "Check the server if it was not stopped on purpose."},
 	{ServerRefused, LayerEndpoint, "invalid server entry in the register", "Find the program that wrote the entry; the other servers are not affected."},
+	{ConnOpened, LayerEndpoint, "connection to server opened", "None; if there are many for each statement, see the connections of the server in /state."},
+	{ConnReplaced, LayerEndpoint, "idle connection closed for another workspace", "None, unless the rate is high; then raise the server's connection limit."},
 	{PeerConnected, LayerPeer, "connected to VM", "None."},
 	{PeerLost, LayerPeer, "connection to VM lost", "Check the VM if it was not stopped on purpose."},
 	{PeerBadMessage, LayerPeer, "message from VM refused", "Check that both VMs run compatible versions."},
--- a/core/event/level.go
+++ b/core/event/level.go
@@ -41,6 +41,8 @@
 	EndptPoisoned:     LevelWarn,
 	EndptEvicted:      LevelWarn,
 	EndptNotEvicted:   LevelWarn,
+	ConnOpened:        LevelDebug,
+	ConnReplaced:      LevelDebug,
 	PeerLost:          LevelWarn,
 	PeerBadMessage:    LevelWarn,
 	SeedsUnreachable:  LevelWarn,
--- a/core/evict/evict.go
+++ b/core/evict/evict.go
@@ -141,6 +141,15 @@
 // Excess reports whether more connections are open than the limit allows.
 func (c *Cache) Excess() bool { return c.open > c.limits.open }
 
+// ByWorkspace returns the number of connections of each workspace that has some, including those that are being opened.
+func (c *Cache) ByWorkspace() map[string]int {
+	n := make(map[string]int, len(c.holdings))
+	for workspace, h := range c.holdings {
+		n[workspace] = h.idle + h.inUse
+	}
+	return n
+}
+
 // Has reports whether a workspace has a connection.
 func (c *Cache) Has(workspace string) bool { return c.holdings[workspace] != nil }
 
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -159,10 +159,14 @@
 		return nil, err
 	}
 	e.background.Go(func() { every.Interval(ctx, trimInterval, e.pools.Trim) })
-	reported := int64(0)
+	reported, opened, replaced := int64(0), int64(0), int64(0)
 	e.background.Go(func() {
 		every.Interval(ctx, reportInterval, func() {
 			e.metrics.Gauge(entry.Sessions).Update(float64(e.entry.Sessions()))
+			nowOpened, nowReplaced := e.pools.ConnCounts()
+			e.metrics.Counter(entry.ConnsOpened).Inc(nowOpened - opened)
+			e.metrics.Counter(entry.ConnsReplaced).Inc(nowReplaced - replaced)
+			opened, replaced = nowOpened, nowReplaced
 			if n := lines.Dropped(); n > reported {
 				log.Event(event.LinesDropped, zap.Int64("lines", n-reported))
 				reported = n
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -8,6 +8,8 @@
 	StatementSeconds = "statement_seconds"
 	Sessions         = "sessions"
 	Panics           = "panics_total"
+	ConnsOpened      = "server_connections_opened_total"
+	ConnsReplaced    = "server_connections_replaced_total"
 )
 
 // latencyBuckets ranges from a read in the same data centre to the longest statement timeout.
@@ -18,5 +20,7 @@
 	return r.Counter(Statements, "statements", "Statements that went to a server or failed, by result.", "result").
 		Histogram(StatementSeconds, "seconds", "Time from the arrival of a statement to the start of its answer.", latencyBuckets).
 		Gauge(Sessions, "sessions", "Open sessions of callers.").
-		Counter(Panics, "panics", "Panics that ended one connection or one call.")
+		Counter(Panics, "panics", "Panics that ended one connection or one call.").
+		Counter(ConnsOpened, "connections", "Connections opened to servers.").
+		Counter(ConnsReplaced, "connections", "Idle connections to servers closed for another workspace.")
 }
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -39,6 +39,7 @@
 	clock           func() time.Time
 	dialer          port.Dialer
 	log             logs.Logger
+	counts          *counts
 
 	mu            sync.Mutex
 	pools         map[string]*Pool
@@ -89,7 +90,7 @@
 			ok = false
 		}
 		if !ok {
-			p = newPool(s, g.dialer, g.clock, g.log)
+			p = newPool(s, g.dialer, g.clock, g.log, g.counts)
 			g.pools[s.ID()] = p
 		}
 		p.setLimits(limitsOf(s))
@@ -290,6 +291,7 @@
 	dialer          port.Dialer
 	clock           func() time.Time
 	log             logs.Logger
+	counts          counts
 
 	mu        sync.Mutex
 	groups    map[string]*Group
@@ -345,7 +347,7 @@
 		g, ok := s.groups[name]
 		if !ok {
 			g = &Group{
-				name: name, vm: s.vm, localDataCentre: s.localDataCentre, clock: s.clock, dialer: s.dialer, log: s.log,
+				name: name, vm: s.vm, localDataCentre: s.localDataCentre, clock: s.clock, dialer: s.dialer, log: s.log, counts: &s.counts,
 				pools: make(map[string]*Pool), forwarder: s.forwarder, paths: s.paths,
 				table: route.NewTable(s.localDataCentre, nil, route.NewCosts(remotePenalty, primaryPenalty)),
 			}
@@ -432,6 +434,11 @@
 	}
 }
 
+// ConnCounts returns how many connections the VM has opened to servers, and how many idle ones it has closed for another workspace.
+func (s *Set) ConnCounts() (opened, replaced int64) {
+	return s.counts.opened.Load(), s.counts.replaced.Load()
+}
+
 // GroupState is the state of a group, for a diagnostic dump.
 type GroupState struct {
 	Name    string  `json:"name"`
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -206,6 +206,7 @@
 	dialer port.Dialer
 	clock  func() time.Time
 	log    logs.Logger
+	counts *counts
 
 	answeredAt   atomic.Int64 // when the latest request was answered, in Unix nanoseconds
 	unansweredAt atomic.Int64 // when the latest failed request was sent; math.MaxInt64 if it failed before its timeout
@@ -225,12 +226,21 @@
 	lastDialRefused  bool // the server's machine refused the last dial with ECONNREFUSED
 	lastDialFailed   bool
 	settledAt        time.Time // when the owner of the server may open limits.settled connections
-	opened           int       // connections since the start of the pool
-	replaced         int       // idle connections that were closed for another workspace
+	opened           int64     // connections since the start of the pool
+	replaced         int64     // idle connections that were closed for another workspace
 }
 
-func newPool(server layout.Server, dialer port.Dialer, clock func() time.Time, log logs.Logger) *Pool {
-	return &Pool{server: server, dialer: dialer, clock: clock, log: log, conns: evict.NewCache(evict.NewLimits(0))}
+// counts are those of all pools of a VM.
+type counts struct {
+	opened   atomic.Int64 // connections
+	replaced atomic.Int64 // idle connections that were closed for another workspace
+}
+
+func newPool(server layout.Server, dialer port.Dialer, clock func() time.Time, log logs.Logger, n *counts) *Pool {
+	if n == nil {
+		n = &counts{}
+	}
+	return &Pool{server: server, dialer: dialer, clock: clock, log: log, counts: n, conns: evict.NewCache(evict.NewLimits(0))}
 }
 
 // limits are the limits of this VM's use of one server.
@@ -333,31 +343,35 @@
 			continue
 		}
 		if action == evict.Replace {
-			p.closeVictim(now)
+			victim, _ := p.closeVictim(now)
 			p.replaced++
+			p.counts.replaced.Add(1)
+			p.log.Event(event.ConnReplaced, zap.String("server", p.server.ID()), zap.String("workspace", victim),
+				zap.String("for", w.Workspace()))
 		}
 		p.conns.Begin(w.Workspace(), now)
 		w.granted <- grant{}
 	}
 }
 
-// closeVictim closes the idle connection that is needed least. It returns false if none is idle. The caller holds mu.
-func (p *Pool) closeVictim(now time.Time) bool {
-	workspace, ok := p.conns.Victim(now)
+// closeVictim closes the idle connection that is needed least, and returns its workspace. It returns false if none is idle. The caller
+// holds mu.
+func (p *Pool) closeVictim(now time.Time) (workspace string, ok bool) {
+	workspace, ok = p.conns.Victim(now)
 	if !ok {
-		return false
+		return "", false
 	}
 	i := slices.IndexFunc(p.idle, func(c *Conn) bool { return c.workspace == workspace })
 	c := p.idle[i]
 	p.idle = slices.Delete(p.idle, i, i+1)
 	p.closeConn(c)
-	return true
+	return workspace, true
 }
 
 // closeExcess closes idle connections while there are more than the limit allows. The caller holds mu.
 func (p *Pool) closeExcess(now time.Time) {
 	for p.conns.Excess() {
-		if !p.closeVictim(now) {
+		if _, ok := p.closeVictim(now); !ok {
 			return
 		}
 	}
@@ -557,6 +571,8 @@
 		return nil, err
 	}
 	p.recordDialSuccess()
+	p.log.Event(event.ConnOpened, zap.String("server", p.server.ID()), zap.String("workspace", workspace),
+		zap.Duration("took", p.clock().Sub(start)))
 	return &Conn{
 		ServerConn: sc, pool: p, workspace: workspace, sessionValues: make(map[string]string), preparedNames: make(map[query.Shape]string),
 		acquiredAt: start,
@@ -609,6 +625,7 @@
 	}
 	p.lastDialRefused, p.lastDialFailed = false, false
 	p.opened++
+	p.counts.opened.Add(1)
 }
 
 // LastDialRefused reports whether the server's machine refused the last connection, which means that the server process is not
@@ -794,6 +811,11 @@
 	Draining   bool   `json:"draining"` // the server accepts no new work
 	Shared     bool   `json:"shared"`   // this VM holds the connections for other VMs, too
 	Queue      int    `json:"queue"`    // statements that wait for a slot
+	Opening    int    `json:"opening"`  // connections that are being opened
+	Opened     int64  `json:"opened"`   // connections since the VM began to use the server
+	Replaced   int64  `json:"replaced"` // idle connections that were closed for another workspace
+	// Workspaces holds the number of connections of each workspace that has some.
+	Workspaces map[string]int `json:"workspaces,omitempty"`
 	// Owners are the VMs that may hold the connections for other VMs, the owner first; empty if there are none.
 	Owners []string `json:"owners,omitempty"`
 }
@@ -802,9 +824,14 @@
 func (p *Pool) State() State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var workspaces map[string]int
+	if p.limits.workspaces {
+		workspaces = p.conns.ByWorkspace()
+	}
 	return State{
 		Server: p.server.ID(), Limit: p.limits.maxOpen, Open: p.conns.Open(), Idle: len(p.idle), Waiting: p.connWaiters.Len(),
 		Running: p.running, MaxRunning: p.limits.maxRunning, Shared: p.limits.shared, Queue: p.slotWaiters.Len(),
+		Opening: p.conns.Opening(), Opened: p.opened, Replaced: p.replaced, Workspaces: workspaces,
 	}
 }
 
