--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -11,6 +11,8 @@
 	// CallersTurnedAway and CallerBytes show what callers make the VM hold.
 	CallersTurnedAway = "callers_turned_away_total"
 	CallerBytes       = "caller_bytes"
+	ConnsOpened       = "server_connections_opened_total"
+	ConnsReplaced     = "server_connections_replaced_total"
 )
 
 // latencyBuckets ranges from a read in the same data centre to the longest statement timeout.
@@ -24,5 +26,7 @@
 		Counter(CallersTurnedAway, "callers", "Callers that were refused, or whose connection was closed, to keep within the limits, by cause.",
 			"cause").
 		Gauge(CallerBytes, "bytes", "Memory counted for messages, answers and the state of sessions.").
-		Counter(Panics, "panics", "Panics that ended one connection or one call.")
+		Counter(Panics, "panics", "Panics that ended one connection or one call.").
+		Counter(ConnsOpened, "connections", "Connections opened to servers.").
+		Counter(ConnsReplaced, "connections", "Idle connections to servers closed for another workspace.")
 }
