io/pool, io/remote: let a new owner open all connections once the server has no others

Change: a VM that has become the owner asks the server for its number of connections every 300 ms. Tests: TestOwnerSettles, TestOwnerAsksForTheServersConnections; lab/lines forgets connections that have ended.

--- a/core/exec/exec.go
+++ b/core/exec/exec.go
@@ -163,6 +163,7 @@
 	term     uint64
 	received point.Point
 	lag      time.Duration
+	conns    int
 }
 
 // NewServerStatus returns a status. Received is the newest log position that the server has received.
@@ -179,5 +180,14 @@
 // Received returns the newest log position that the server has received.
 func (s ServerStatus) Received() point.Point { return s.received }
 
+// WithConnections returns the status with the number of connections that the server has, from all VMs.
+func (s ServerStatus) WithConnections(n int) ServerStatus {
+	s.conns = n
+	return s
+}
+
+// Connections returns the number of connections that the server has, from all VMs, or 0 if it is not known.
+func (s ServerStatus) Connections() int { return s.conns }
+
 // Lag returns the replication lag: how far the server's reads are behind the log that it has received.
 func (s ServerStatus) Lag() time.Duration { return s.lag }
--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -236,6 +236,10 @@
 // workspaces, once no other VM takes itself for the owner.
 func SettledShare(limit int) int { return max(limit-otherConnections-TakeoverShare(limit), minShare) }
 
+// OnlyOwner reports whether a VM that has become the owner of a server is certainly the only one, as the other VMs have just this number
+// of connections to the server.
+func OnlyOwner(others int) bool { return others <= otherConnections }
+
 // Overcommitted reports whether n VMs that all open their full share exceed a server's connection limit minus the reserved
 // connections. Few VMs open their full share at the same time; the server refuses connections beyond its limit, and idle
 // connections must be closed early.
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -248,6 +248,7 @@
 	s, err = c.Status(max(deadline.Sub(g.clock()), time.Millisecond))
 	switch {
 	case err == nil:
+		p.recordConnCount(s.Connections())
 		return s, true, nil
 	case result.CodeOf(err) == result.Overloaded:
 		return s, true, err
@@ -256,6 +257,19 @@
 	return s, false, err
 }
 
+// Unsettled returns the servers of which this VM has become the owner, and may not be the only one yet. The answer to Status tells.
+func (g *Group) Unsettled() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var ids []string
+	for _, s := range g.members {
+		if p, ok := g.pools[s.ID()]; ok && p.unsettled() {
+			ids = append(ids, s.ID())
+		}
+	}
+	return ids
+}
+
 // Demote makes a server stop being the primary of any term below term.
 func (g *Group) Demote(id string, term uint64, timeout time.Duration) error {
 	p, ok := g.Pool(id)
@@ -439,6 +453,9 @@
 	return s.counts.opened.Load(), s.counts.replaced.Load()
 }
 
+// Settling reports whether some group may have servers that are Unsettled.
+func (s *Set) Settling() bool { return s.clock().UnixNano() < s.counts.settledAt.Load() }
+
 // GroupState is the state of a group, for a diagnostic dump.
 type GroupState struct {
 	Name    string  `json:"name"`
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -38,8 +38,8 @@
 	// serverFullBackoff is how long Acquire opens no connection after the server refused one because it has too many or is
 	// overloaded.
 	serverFullBackoff = 150 * time.Millisecond
-	// ownerSettleTime is how long a VM has been the owner of a server before it counts on being the only one. It is twice the interval at
-	// which a VM reads the list of VMs if nothing calls for it sooner.
+	// ownerSettleTime is how long a VM has been the owner of a server before it counts on being the only one, if the server does not say
+	// so. It is twice the interval at which a VM reads the list of VMs if nothing calls for it sooner.
 	ownerSettleTime = 10 * time.Second
 )
 
@@ -232,8 +232,9 @@
 
 // counts are those of all pools of a VM.
 type counts struct {
-	opened   atomic.Int64 // connections
-	replaced atomic.Int64 // idle connections that were closed for another workspace
+	opened    atomic.Int64 // connections
+	replaced  atomic.Int64 // idle connections that were closed for another workspace
+	settledAt atomic.Int64 // the latest settledAt of a pool, in Unix nanoseconds
 }
 
 func newPool(server layout.Server, dialer port.Dialer, clock func() time.Time, log logs.Logger, n *counts) *Pool {
@@ -706,12 +707,35 @@
 	now := p.clock()
 	if l.settled > 0 && p.limits.settled == 0 {
 		p.settledAt = now.Add(ownerSettleTime)
+		p.counts.settledAt.Store(p.settledAt.UnixNano())
 	}
 	p.limits = l
 	p.applyLimits(now)
 	p.grantSlots()
 }
 
+// recordConnCount records the number of connections that the server has, from all VMs.
+func (p *Pool) recordConnCount(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock()
+	if n == 0 || p.limits.settled == 0 || !now.Before(p.settledAt) {
+		return
+	}
+	// The server may not have counted those that are being opened.
+	if layout.OnlyOwner(n - (p.conns.Open() - p.conns.Opening())) {
+		p.settledAt = now
+		p.applyLimits(now)
+	}
+}
+
+// unsettled reports whether this VM has become the owner of the server and may not be the only one.
+func (p *Pool) unsettled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limits.settled > 0 && p.clock().Before(p.settledAt)
+}
+
 // applyLimits applies the limits of connections that hold at now. The caller holds mu.
 func (p *Pool) applyLimits(now time.Time) {
 	if p.limits.settled > 0 && !now.Before(p.settledAt) {
--- a/io/pool/workspace_test.go
+++ b/io/pool/workspace_test.go
@@ -397,4 +397,11 @@
 	g.Expect(d.open.Load()).To(gomega.BeEquivalentTo(3))
 	p.setLimits(first)
 	g.Expect(p.State().Limit).To(gomega.Equal(3), "it has just become the owner again")
+	g.Expect(p.unsettled()).To(gomega.BeTrue())
+	p.recordConnCount(0)
+	p.recordConnCount(3 + 11)
+	g.Expect(p.State().Limit).To(gomega.Equal(3), "others may take themselves for the owner")
+	p.recordConnCount(3 + 10)
+	g.Expect(p.State().Limit).To(gomega.Equal(9), "no other VM has the connections of an owner")
+	g.Expect(p.unsettled()).To(gomega.BeFalse())
 }
--- a/io/remote/owner.go
+++ b/io/remote/owner.go
@@ -26,6 +26,10 @@
 	// for the answer. A VM that has lost power does not close its connections.
 	idleCheckInterval = time.Second
 	idleCheckTimeout  = time.Second
+	// settleInterval is how often a VM that has become the owner of a server asks it how many connections it has, until the VM may open
+	// all connections of the owner. settleTimeout is the time for the answer.
+	settleInterval = 300 * time.Millisecond
+	settleTimeout  = 250 * time.Millisecond
 )
 
 // Elector tells which primary is certain, and learns from answers of servers.
@@ -66,6 +70,7 @@
 	}
 	o.positions = newPositions(pools, elector, caller, clock)
 	o.background.Go(func() { every.Interval(ctx, idleCheckInterval, func() { o.checkIdle(ctx) }) })
+	o.background.Go(func() { every.Interval(ctx, settleInterval, o.settle) })
 	return o
 }
 
@@ -294,6 +299,20 @@
 	}
 }
 
+// settle asks the servers of which this VM has become the owner how many connections they have. The pools learn the answers.
+func (o *Owner) settle() {
+	if !o.pools.Settling() {
+		return
+	}
+	var calls sync.WaitGroup
+	for _, g := range o.pools.Groups() {
+		for _, id := range g.Unsettled() {
+			calls.Go(func() { _, _, _ = g.Status(id, settleTimeout) })
+		}
+	}
+	calls.Wait()
+}
+
 // runOn runs a request on a connection to its server.
 func (o *Owner) runOn(g *pool.Group, c *pool.Conn, q runCall, after point.Point, deadline time.Time) runReply {
 	requestedAt := o.clock()
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -225,6 +225,29 @@
 	g.Expect(openConns(t, owner, "ledger-0")).To(gomega.Equal(5), "one for status requests, one for the transaction, one for each workspace")
 }
 
+// Guards against an owner that keeps to the few connections of one that is not the only owner, although the server has no others, and
+// against one that opens all connections of the owner while the server has those of another.
+func TestOwnerAsksForTheServersConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	servers, owner, _ := newPair(t)
+	limit := func(server string) func() int {
+		return func() int {
+			p, _ := owner.group(t).Pool(server)
+			return p.State().Limit
+		}
+	}
+	const others = 11
+	for range others {
+		c, err := platform.NewDialer("other").Dial(t.Context(), servers.servers.Server(1).Addr(), "ledger", "ledger-1", "")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = c.Close() }()
+	}
+	servers.store.Put(platform.ConfigTable, platform.ConfigKey,
+		[]byte(`{"version":2,"services":[{"name":"ledger","maxConns":30}],"tenants":[]}`))
+	g.Eventually(limit("ledger-0"), 5*time.Second).Should(gomega.Equal(15))
+	g.Expect(limit("ledger-1")()).To(gomega.Equal(5))
+}
+
 func openConns(t *testing.T, v *vm, server string) int {
 	p, ok := v.group(t).Pool(server)
 	if !ok {
--- a/lab/lines/lines.go
+++ b/lab/lines/lines.go
@@ -218,6 +218,9 @@
 				s.conns[conn] = struct{}{}
 				s.group.mu.Unlock()
 				(&session{s: s, conn: conn, values: make(map[string]string), prepared: make(map[string]string)}).serve()
+				s.group.mu.Lock()
+				delete(s.conns, conn)
+				s.group.mu.Unlock()
 			}()
 		}
 	}()
