--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -13,6 +13,8 @@
 	newestWeight = 0.08
 	// deviationsAboveMean is how many mean deviations a statement is expected to take above the mean at most.
 	deviationsAboveMean = 2
+	// waitMargin of an expected wait is added to it before it is compared with the time that a caller has, since waits vary.
+	waitMargin = 0.5
 	// initialHoldTime is the hold time that is assumed until the first one has been measured.
 	initialHoldTime = 20 * time.Millisecond
 )
@@ -76,6 +78,13 @@
 	return wait+g.meanServiceTime <= timeout
 }
 
+// AdmitsAfter reports whether a statement may wait if wait is expected from the pace at which the queue is served. Its answer must be
+// expected within timeout even if the wait is longer than the average and the statement takes longer than most: a statement
+// that is admitted and then cannot be answered in time is refused later than necessary.
+func (g *Gate) AdmitsAfter(wait, timeout time.Duration) bool {
+	return wait <= 0 || wait+time.Duration(waitMargin*float64(wait))+g.ServiceTime() <= timeout
+}
+
 const (
 	// minRunning lets a VM use a second slot while its first one runs long work.
 	minRunning = 2
--- a/core/admit/queue_test.go
+++ b/core/admit/queue_test.go
@@ -12,10 +12,10 @@
 	start := time.Unix(0, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	var q Queue[string]
-	q.Push("report", NewRank(2, at(800)))
-	q.Push("lookup", NewRank(2, at(400)))
-	q.Push("payment", NewRank(1, at(900)))
-	q.Push("late", NewRank(2, at(20)))
+	q.Push("report", NewRank(2, at(800)), start)
+	q.Push("lookup", NewRank(2, at(400)), start)
+	q.Push("payment", NewRank(1, at(900)), start)
+	q.Push("late", NewRank(2, at(20)), start)
 	fmt.Println(q.Ahead(NewRank(2, at(500)), at(0), 30*time.Millisecond), "ahead")
 	for q.Len() > 0 {
 		next, _ := q.Pop(at(0), 30*time.Millisecond)
@@ -109,7 +109,7 @@
 		}
 		r := rank(a)
 		if g.AdmitsToSlot(q.Ahead(r, a.at, g.ServiceTime()), slots, kinds[a.kind].target) {
-			q.Push(i, r)
+			q.Push(i, r, a.at)
 		}
 	}
 	return inTime
@@ -156,8 +156,8 @@
 func TestLateStatementsGoLast(t *testing.T) {
 	start := time.Unix(0, 0)
 	var q Queue[string]
-	q.Push("old", NewRank(1, start.Add(100*time.Millisecond)))
-	q.Push("new", NewRank(2, start.Add(300*time.Millisecond)))
+	q.Push("old", NewRank(1, start.Add(100*time.Millisecond)), start)
+	q.Push("new", NewRank(2, start.Add(300*time.Millisecond)), start)
 	now := start.Add(90 * time.Millisecond)
 	if n := q.Ahead(NewRank(2, start.Add(400*time.Millisecond)), now, 20*time.Millisecond); n != 1 {
 		t.Errorf("%d ahead, want only the one that can be answered in time", n)
@@ -167,7 +167,7 @@
 			t.Errorf("%s runs, want %s", got, want)
 		}
 	}
-	if q.Push("gone", NewRank(1, start)); !q.Remove("gone") || q.Remove("gone") {
+	if q.Push("gone", NewRank(1, start), start); !q.Remove("gone") || q.Remove("gone") {
 		t.Error("a statement that has given up must be removed once")
 	}
 }
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -260,7 +260,7 @@
 			ahead, p.server.ID(), wait)
 	}
 	w := &connWaiter{granted: make(chan *Conn, 1)}
-	p.connWaiters.Push(w, rank)
+	p.connWaiters.Push(w, rank, now)
 	p.mu.Unlock()
 	return p.waitForConn(w, request.Workspace, deadline)
 }
@@ -411,7 +411,7 @@
 		return true
 	}
 	w := &slotWaiter{granted: make(chan struct{})}
-	p.slotWaiters.Push(w, rank)
+	p.slotWaiters.Push(w, rank, p.clock())
 	p.mu.Unlock()
 	t := time.NewTimer(timeout)
 	defer t.Stop()
