core/admit: order of the whole queue, and starts out of turn

Change: Order lists the statements as Pop would return them, Start charges one that runs out of turn; statements of open transactions are never removed as hopeless.

--- a/core/admit/order_test.go
+++ b/core/admit/order_test.go
@@ -56,6 +56,19 @@
 	return n
 }
 
+// order returns the items in the order of Pop.
+func (q *plainQueue[T]) order(now time.Time, serviceTime time.Duration) []T {
+	var inTime, late []T
+	for _, w := range q.waiting {
+		if w.rank.isLate(now, serviceTime) {
+			late = append(late, w.item)
+		} else {
+			inTime = append(inTime, w.item)
+		}
+	}
+	return append(inTime, late...)
+}
+
 func (q *plainQueue[T]) RemoveHopeless(time.Time, time.Duration) []T { return nil }
 
 func (q *plainQueue[T]) Place(r Rank, now time.Time, serviceTime time.Duration) Place {
@@ -88,6 +101,11 @@
 				q.Push(i, rank, now)
 				plain.Push(i, rank, now)
 			case 4, 5, 6:
+				if i%20 == 0 {
+					if order, _ := q.Order(nil, now, service); !slices.Equal(order, plain.order(now, service)) {
+						t.Fatalf("seed %d, step %d: order %v, want %v", seed, i, order, plain.order(now, service))
+					}
+				}
 				got, ok := q.Pop(now, service)
 				if want, wantOK := plain.Pop(now, service); got != want || ok != wantOK {
 					t.Fatalf("seed %d, step %d: %d (%v) runs, want %d (%v)", seed, i, got, ok, want, wantOK)
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -79,6 +79,7 @@
 type Queue[T comparable] struct {
 	levels       []*level[T] // by priority
 	length       int
+	turns        []turn[T] // reused by Order
 	earliestLate time.Time // no statement of a workspace is useful until an earlier time; zero if none is known
 }
 
@@ -170,6 +171,11 @@
 		return none, false
 	}
 	n, l, at := q.next(now, serviceTime)
+	return q.start(n, l, at, now, serviceTime), true
+}
+
+// start removes the statement at a place of a lane of the n-th level, which runs now.
+func (q *Queue[T]) start(n int, l *lane[T], at int, now time.Time, serviceTime time.Duration) T {
 	v := q.levels[n]
 	for _, other := range q.levels[n+1:] {
 		if other.waiting > 0 {
@@ -178,7 +184,81 @@
 	}
 	v.overtaken, v.lastStart = 0, now
 	q.length--
-	return v.start(l, at, now), true
+	return v.start(l, at, now)
+}
+
+// Start removes a statement that runs now although it may not be the one that Pop would return, for instance since that needs something
+// else. It reports whether the statement was waiting.
+func (q *Queue[T]) Start(item T, now time.Time, serviceTime time.Duration) bool {
+	for n, v := range q.levels {
+		for l := range v.active() {
+			if at := l.index(item); at >= 0 {
+				if len(v.within.lanes) == 0 {
+					v.advance(v.beyond.lanes[0].start)
+				}
+				q.start(n, l, at, now, serviceTime)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Order appends the waiting statements to list in the order in which Pop would return them at now if no others came, and returns it with
+// the number of those that can still be answered in time, which come first.
+func (q *Queue[T]) Order(list []T, now time.Time, serviceTime time.Duration) ([]T, int) {
+	if q.length == 0 {
+		return list, 0
+	}
+	q.turns = q.turns[:0]
+	for n, v := range q.levels {
+		for l := range v.active() {
+			late := l.late(now, serviceTime)
+			for i := range l.len() {
+				t := turn[T]{waiter: l.at(i), level: n, late: i < late}
+				if !t.late {
+					t.tag = max(l.start+float64(i-late)/l.weight, v.virtual)
+				}
+				q.turns = append(q.turns, t)
+			}
+		}
+	}
+	slices.SortStableFunc(q.turns, turn[T].compare)
+	if first, _, _ := q.next(now, serviceTime); first != q.turns[0].level {
+		// The floor lets one statement of a less urgent level go first.
+		i := slices.IndexFunc(q.turns, func(t turn[T]) bool { return t.level == first })
+		t := q.turns[i]
+		copy(q.turns[1:], q.turns[:i])
+		q.turns[0] = t
+	}
+	inTime := 0
+	for _, t := range q.turns {
+		list = append(list, t.item)
+		if !t.late {
+			inTime++
+		}
+	}
+	clear(q.turns)
+	return list, inTime
+}
+
+// turn is a statement with what decides when it runs.
+type turn[T comparable] struct {
+	waiter[T]
+	level int
+	tag   float64 // virtual time at which it runs
+	late  bool
+}
+
+func (t turn[T]) compare(other turn[T]) int {
+	if t.late != other.late {
+		if t.late {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(t.level, other.level), cmp.Compare(t.tag, other.tag),
+		t.rank.usefulUntil.Compare(other.rank.usefulUntil))
 }
 
 // Ended records that a statement of this priority has taken so long.
@@ -215,7 +295,8 @@
 }
 
 // RemoveHopeless removes and returns the statements of workspaces that cannot be answered in time any more, if others can: these
-// would go first for as long as the overload lasts. It returns nothing if all waiting statements are late, since they run next then.
+// would go first for as long as the overload lasts. It returns nothing if all waiting statements are late, since they run next then,
+// and no statements of open transactions.
 func (q *Queue[T]) RemoveHopeless(now time.Time, serviceTime time.Duration) []T {
 	if q.earliestLate.IsZero() || !now.Add(serviceTime).After(q.earliestLate) {
 		return nil
@@ -236,7 +317,7 @@
 	var removed []T
 	for _, v := range q.levels {
 		for _, l := range slices.Collect(v.active()) {
-			if l.workspace == "" {
+			if l.workspace == "" || v.priority < 0 {
 				continue
 			}
 			for range l.late(now, serviceTime) {
--- a/core/admit/room_test.go
+++ b/core/admit/room_test.go
@@ -390,6 +390,60 @@
 	}
 }
 
+// Guards against an order that differs from what Pop returns, and against statements that start out of turn and are not charged.
+func TestOrderIsThatOfPop(t *testing.T) {
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 4))
+		now := time.Unix(0, 0)
+		service := 20 * time.Millisecond
+		var q Queue[int]
+		for i := range 3000 {
+			now = now.Add(time.Duration(r.IntN(4)) * time.Millisecond)
+			if r.IntN(3) > 0 {
+				rank := NewRank(r.IntN(3), now.Add(time.Duration(r.IntN(5000))*time.Microsecond*40))
+				q.Push(i, rank.InWorkspace(fmt.Sprint("w", r.IntN(6)), float64(1+r.IntN(5))), now)
+				continue
+			}
+			order, inTime := q.Order(nil, now, service)
+			if len(order) != q.Len() || inTime > len(order) {
+				t.Fatalf("seed %d: %d in order, %d of them in time, %d wait", seed, len(order), inTime, q.Len())
+			}
+			got, ok := q.Pop(now, service)
+			if ok && got != order[0] {
+				t.Fatalf("seed %d, step %d: Pop returned %d, the order is %v", seed, i, got, order)
+			}
+		}
+		// Without the floor, the whole order is that of Pop.
+		now = now.Add(service)
+		q.RemoveHopeless(now, service)
+		for _, v := range q.levels {
+			v.overtaken = math.MinInt64
+		}
+		order, inTime := q.Order(nil, now, service)
+		for i := range inTime {
+			if got, _ := q.Pop(now, service); got != order[i] {
+				t.Fatalf("seed %d: Pop returned %d, want %d", seed, got, order[i])
+			}
+		}
+	}
+	now := time.Unix(0, 0)
+	var q Queue[int]
+	for i := range 100 {
+		q.Push(i, NewRank(1, now.Add(time.Hour)).InWorkspace("a", 1), now)
+	}
+	for i := range 50 {
+		if !q.Start(i, now, 0) || q.Start(i, now, 0) {
+			t.Fatalf("%d must start once", i)
+		}
+	}
+	for i := range 2 {
+		q.Push(200+i, NewRank(1, now.Add(time.Hour)).InWorkspace("b", 1), now)
+	}
+	if order, _ := q.Order(nil, now, 0); order[0] != 200 || order[1] != 201 {
+		t.Errorf("the order begins with %v, want the workspace that has had nothing", order[:2])
+	}
+}
+
 // Guards against statements that a queue with workspaces loses, returns twice or keeps beyond its length.
 func TestEveryStatementLeavesOnce(t *testing.T) {
 	for seed := range uint64(10) {
