io/pool: shares of workspaces, and refusals at once

Change: ranks carry the workspace and its weight from the configuration in force; a statement is admitted by its own place and pace, and leaves when it is late while others are not. Refusals say whose queue. TestRunningIsBounded checks the code of the refusal, as acquireSlot returns an error.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -74,8 +74,12 @@
 	if ahead < 0 {
 		return true
 	}
-	wait := g.meanServiceTime * time.Duration(ahead+1) / time.Duration(max(n, 1))
-	return wait+g.meanServiceTime <= timeout
+	return g.SlotWait(ahead, n)+g.meanServiceTime <= timeout
+}
+
+// SlotWait returns the expected wait for one of n slots, all of which are in use, if ahead statements wait already.
+func (g *Gate) SlotWait(ahead, n int) time.Duration {
+	return g.meanServiceTime * time.Duration(ahead+1) / time.Duration(max(n, 1))
 }
 
 // AdmitsAfter reports whether a statement may wait if wait is expected from the pace at which the queue is served. Its answer must be
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -52,6 +52,9 @@
 // Workspace returns the name of the workspace, "" if there is none.
 func (r Rank) Workspace() string { return r.workspace }
 
+// UsefulUntil returns until when the answer is useful.
+func (r Rank) UsefulUntil() time.Time { return r.usefulUntil }
+
 // isLate reports whether the answer would come too late if the statement, which takes serviceTime, started at now.
 func (r Rank) isLate(now time.Time, serviceTime time.Duration) bool {
 	return now.Add(serviceTime).After(r.usefulUntil)
--- a/core/admit/room_test.go
+++ b/core/admit/room_test.go
@@ -388,6 +388,11 @@
 	if got := q.RemoveHopeless(at(300), service); len(got) > 0 || q.Len() != 2 {
 		t.Errorf("%v removed, though all that wait are late", got)
 	}
+	q.Push("transaction", NewRank(-1, at(310)).InWorkspace("a", 1), at(300))
+	q.Push("c", NewRank(1, at(900)).InWorkspace("c", 1), at(300))
+	if got := q.RemoveHopeless(at(300), service); !slices.Equal(got, []string{"b"}) {
+		t.Errorf("%v removed, want b and no statement of a transaction", got)
+	}
 }
 
 // Guards against an order that differs from what Pop returns, and against statements that start out of turn and are not charged.
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -341,6 +341,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.view = v
+	weights := v.Config().Weights()
 	for _, name := range v.Config().Groups() {
 		g, ok := s.groups[name]
 		if !ok {
@@ -359,7 +360,11 @@
 			}
 		}
 		limit := v.Config().Limit(name)
-		g.update(members, func(m layout.Server) limits { return s.limitsFor(m, limit, owners[m.ID()]) }, owners)
+		g.update(members, func(m layout.Server) limits {
+			l := s.limitsFor(m, limit, owners[m.ID()])
+			l.weights = weights
+			return l
+		}, owners)
 	}
 }
 
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -108,12 +108,12 @@
 	if priority < 0 {
 		usefulUntil = start.Add(timeout) // a statement of a transaction
 	}
-	if !c.pool.acquireSlot(timeout, admit.NewRank(priority, usefulUntil)) {
-		return exec.Result{}, false, result.New(result.QueueFull, "timed out waiting for a free slot of server %s", c.Server())
+	if err := c.pool.acquireSlot(timeout, c.pool.rank(c.workspace, priority, usefulUntil)); err != nil {
+		return exec.Result{}, false, err
 	}
 	c.pool.recordStart(c)
 	slotAcquired := c.pool.clock()
-	defer func() { c.pool.releaseSlot(c.pool.clock().Sub(slotAcquired)) }()
+	defer func() { c.pool.releaseSlot(priority, c.pool.clock().Sub(slotAcquired)) }()
 	return c.Do(timeout-slotAcquired.Sub(start), op)
 }
 
@@ -197,8 +197,11 @@
 	err  error
 }
 
-// slotWaiter is a statement that waits for a slot. The channel is closed when the slot is granted.
-type slotWaiter struct{ granted chan struct{} }
+// slotWaiter is a statement that waits for a slot. The channel delivers nil when the slot is granted, or the reason for a refusal.
+type slotWaiter struct {
+	rank    admit.Rank
+	granted chan error
+}
 
 // Pool holds this VM's connections to one server and limits the statements that run there.
 type Pool struct {
@@ -241,6 +244,23 @@
 	idle       time.Duration // after which a connection is closed
 	shared     bool          // this VM holds the connections for other VMs, too
 	workspaces bool          // connections belong to workspaces
+	// weights are the weights by which workspaces share the server. Other workspaces have the weight 1.
+	weights map[string]float64
+}
+
+// rank returns the rank of a statement.
+func (p *Pool) rank(workspace string, priority int, usefulUntil time.Time) admit.Rank {
+	r := admit.NewRank(priority, usefulUntil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.limits.workspaces {
+		return r
+	}
+	weight, ok := p.limits.weights[workspace]
+	if !ok {
+		weight = 1
+	}
+	return r.InWorkspace(workspace, weight)
 }
 
 // AcquireRequest is a request for a connection. If no connection is available, the request is refused at once unless the answer to
@@ -264,7 +284,7 @@
 func (p *Pool) Acquire(request AcquireRequest) (*Conn, error) {
 	now := p.clock()
 	usefulUntil := now.Add(request.AnswerWithin)
-	c, err := p.acquire(request, now, admit.NewRank(request.Priority, usefulUntil))
+	c, err := p.acquire(request, now, p.rank(request.Workspace, request.Priority, usefulUntil))
 	if err != nil {
 		return nil, err
 	}
@@ -279,35 +299,74 @@
 	case p.closed:
 		p.mu.Unlock()
 		return nil, result.New(result.NoServer, "server %s has been removed or replaced", p.server.ID())
-	case p.limits.shared && !p.gate.AdmitsToSlot(p.slotsAhead(now, rank), p.limits.maxRunning, request.AnswerWithin):
-		ahead := p.slotsAhead(now, rank)
-		p.mu.Unlock()
-		return nil, result.New(result.Overloaded, "%d statements are ahead in the queue for a slot of server %s", ahead, p.server.ID())
+	case p.limits.shared:
+		if err := p.checkSlots(request, now, rank); err != nil {
+			p.mu.Unlock()
+			return nil, err
+		}
 	}
 	w := &connWaiter{
 		Request: evict.NewRequest(request.Workspace, request.Priority), values: request.SessionValues, rank: rank,
 		granted: make(chan grant, 1),
 	}
-	ahead := p.connWaiters.Ahead(rank, now, p.gate.ServiceTime())
+	place := p.connWaiters.Place(rank, now, p.gate.ServiceTime())
 	p.connWaiters.Push(w, rank, now)
 	p.grantConns(now)
-	if len(w.granted) == 0 && !p.gate.Admits(ahead, p.limits.maxOpen, request.AnswerWithin) {
+	if len(w.granted) == 0 && !(p.gate.Admits(place.Ahead(), p.limits.maxOpen, request.AnswerWithin) &&
+		p.gate.AdmitsAfter(place.Wait(), request.AnswerWithin)) {
 		p.connWaiters.Remove(w)
-		wait := p.gate.ExpectedWait(ahead, p.limits.maxOpen)
+		wait := max(p.gate.ExpectedWait(place.Ahead(), p.limits.maxOpen), place.Wait())
 		p.mu.Unlock()
-		return nil, result.New(result.Overloaded, "%d requests are ahead in the queue for server %s; the expected wait is %s",
-			ahead, p.server.ID(), wait)
+		return nil, p.overloadedError("a connection to", rank, place.Ahead(), place.Own(), wait)
 	}
 	p.mu.Unlock()
 	return p.waitForConn(w, deadline)
 }
 
+// checkSlots returns an error if the answer to a statement that waits for a slot is not expected in its time. The caller holds mu.
+func (p *Pool) checkSlots(request AcquireRequest, now time.Time, rank admit.Rank) error {
+	slots := p.slotWaiters.Place(rank, now, p.gate.ServiceTime())
+	ahead, own, wait := p.running+slots.Ahead()-p.limits.maxRunning, slots.Own(), slots.Wait()
+	if p.limits.workspaces {
+		// Statements wait for a connection until they are about to run.
+		conns := p.connWaiters.Place(rank, now, p.gate.ServiceTime())
+		ahead += conns.Ahead() + max(p.conns.Starting()-p.slotWaiters.Len(), 0)
+		own, wait = own+conns.Own(), wait+conns.Wait()
+	}
+	if p.gate.AdmitsToSlot(ahead, p.limits.maxRunning, request.AnswerWithin) &&
+		(ahead < 0 || p.gate.AdmitsAfter(wait, request.AnswerWithin)) {
+		return nil
+	}
+	return p.overloadedError("a slot of", rank, ahead, own, max(p.gate.SlotWait(ahead, p.limits.maxRunning), wait))
+}
+
+// overloadedError returns the reason for the refusal of a statement that would wait too long for a resource of the server.
+func (p *Pool) overloadedError(resource string, rank admit.Rank, ahead, own int, wait time.Duration) error {
+	if rank.Workspace() == "" {
+		return result.New(result.Overloaded, "%d statements are ahead in the queue for %s server %s; the expected wait is %s",
+			ahead, resource, p.server.ID(), wait)
+	}
+	return result.New(result.Overloaded,
+		"%d statements are ahead in the queue for %s server %s, %d of them of workspace %q; with its share the expected wait is %s",
+		ahead, resource, p.server.ID(), own, rank.Workspace(), wait)
+}
+
+// hopelessError returns the reason for the refusal of a statement that cannot be answered in time any more.
+func (p *Pool) hopelessError(resource string, rank admit.Rank) error {
+	return result.New(result.Overloaded,
+		"a statement of workspace %q waited for %s server %s until it could not be answered in time; others could",
+		rank.Workspace(), resource, p.server.ID())
+}
+
 // grantConns grants waiting requests connections, or lets them open some, as far as the limits allow. It must be called after each
 // change that may let a request go on. The caller holds mu.
 func (p *Pool) grantConns(now time.Time) {
 	if p.closed || p.connWaiters.Len() == 0 {
 		return
 	}
+	for _, w := range p.connWaiters.RemoveHopeless(now, p.gate.ServiceTime()) {
+		w.granted <- grant{err: p.hopelessError("a connection to", w.rank)}
+	}
 	p.closeExcess(now)
 	room := evict.RoomForMore
 	if now.Before(p.dialBlockedUntil) {
@@ -324,7 +383,7 @@
 			return
 		}
 		w := waiters[i]
-		p.connWaiters.Remove(w)
+		p.connWaiters.Start(w, now, p.gate.ServiceTime())
 		if action == evict.Reuse {
 			c := p.takeIdle(w.Workspace(), w.values)
 			c.starting = true
@@ -412,15 +471,12 @@
 	return c, nil
 }
 
-// slotsAhead returns how many statements run or wait ahead of a new one beyond those that have a slot at once. It is negative if a
-// slot is free. The caller holds mu.
-func (p *Pool) slotsAhead(now time.Time, rank admit.Rank) int {
-	ahead := p.running + p.slotWaiters.Ahead(rank, now, p.gate.ServiceTime()) - p.limits.maxRunning
-	if p.limits.workspaces {
-		// Statements wait for a connection until they are about to run.
-		ahead += p.connWaiters.Ahead(rank, now, p.gate.ServiceTime()) + max(p.conns.Starting()-p.slotWaiters.Len(), 0)
+// nextCheck returns when a waiting statement should next find out whether it goes on waiting: when it becomes late, or at its deadline.
+func (p *Pool) nextCheck(rank admit.Rank, deadline time.Time) time.Time {
+	if rank.Workspace() != "" && rank.UsefulUntil().Before(deadline) {
+		return rank.UsefulUntil()
 	}
-	return ahead
+	return deadline
 }
 
 func (p *Pool) waitForConn(w *connWaiter, deadline time.Time) (*Conn, error) {
@@ -429,12 +485,21 @@
 		return p.useGrant(w, g, ok, deadline)
 	default:
 	}
-	t := time.NewTimer(deadline.Sub(p.clock()))
+	t := time.NewTimer(p.nextCheck(w.rank, deadline).Sub(p.clock()))
 	defer t.Stop()
-	select {
-	case g, ok := <-w.granted:
-		return p.useGrant(w, g, ok, deadline)
-	case <-t.C:
+	for late := false; !late; {
+		select {
+		case g, ok := <-w.granted:
+			return p.useGrant(w, g, ok, deadline)
+		case <-t.C:
+		}
+		now := p.clock()
+		if late = !now.Before(deadline); !late {
+			t.Reset(deadline.Sub(now))
+			p.mu.Lock()
+			p.grantConns(now)
+			p.mu.Unlock()
+		}
 	}
 	err := result.New(result.QueueFull, "timed out waiting for a connection to server %s", p.server.ID())
 	p.mu.Lock()
@@ -515,12 +580,14 @@
 	p.mu.Lock()
 	needsSlot := p.limits.workspaces
 	p.mu.Unlock()
-	if needsSlot && !p.acquireSlot(deadline.Sub(p.clock()), w.rank) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.endDial(w)
-		p.grantConns(p.clock())
-		return nil, result.New(result.QueueFull, "timed out waiting for a free slot of server %s", p.server.ID())
+	if needsSlot {
+		if err := p.acquireSlot(deadline.Sub(p.clock()), w.rank); err != nil {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.endDial(w)
+			p.grantConns(p.clock())
+			return nil, err
+		}
 	}
 	c, err := p.dial(deadline.Sub(p.clock()), w.Workspace())
 	p.mu.Lock()
@@ -619,47 +686,74 @@
 	return p.lastDialRefused
 }
 
-// acquireSlot waits until one more statement may run on the server. It returns false if that takes longer than timeout.
-func (p *Pool) acquireSlot(timeout time.Duration, rank admit.Rank) bool {
+// acquireSlot waits until one more statement may run on the server, for at most timeout.
+func (p *Pool) acquireSlot(timeout time.Duration, rank admit.Rank) error {
+	now := p.clock()
+	deadline := now.Add(timeout)
 	p.mu.Lock()
 	if p.running < p.limits.maxRunning {
 		p.running++
 		p.mu.Unlock()
-		return true
+		return nil
 	}
-	w := &slotWaiter{granted: make(chan struct{})}
-	p.slotWaiters.Push(w, rank, p.clock())
+	w := &slotWaiter{rank: rank, granted: make(chan error, 1)}
+	p.slotWaiters.Push(w, rank, now)
+	p.refuseHopeless(now)
 	p.mu.Unlock()
-	t := time.NewTimer(timeout)
+	t := time.NewTimer(p.nextCheck(rank, deadline).Sub(now))
 	defer t.Stop()
-	select {
-	case <-w.granted:
-		return true
-	case <-t.C:
+	for {
+		select {
+		case err := <-w.granted:
+			return err
+		case <-t.C:
+		}
+		now = p.clock()
+		p.mu.Lock()
+		if now.Before(deadline) {
+			t.Reset(deadline.Sub(now))
+			p.refuseHopeless(now)
+			p.mu.Unlock()
+			continue
+		}
+		waiting := p.slotWaiters.Remove(w)
+		p.mu.Unlock()
+		if waiting {
+			return result.New(result.QueueFull, "timed out waiting for a free slot of server %s", p.server.ID())
+		}
+		return <-w.granted // The slot was granted at the moment of the timeout.
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !p.slotWaiters.Remove(w) // If it does not wait any more, the slot was granted at the moment of the timeout.
 }
 
-// releaseSlot ends a statement that took serviceTime, and lets the next one run.
-func (p *Pool) releaseSlot(serviceTime time.Duration) {
+// refuseHopeless refuses the waiting statements that cannot be answered in time any more while others can. The caller holds mu.
+func (p *Pool) refuseHopeless(now time.Time) {
+	for _, w := range p.slotWaiters.RemoveHopeless(now, p.gate.ServiceTime()) {
+		w.granted <- p.hopelessError("a slot of", w.rank)
+	}
+}
+
+// releaseSlot ends a statement of this priority that took serviceTime, and lets the next one run.
+func (p *Pool) releaseSlot(priority int, serviceTime time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.gate.RecordServiceTime(serviceTime)
+	p.slotWaiters.Ended(priority, serviceTime)
+	p.connWaiters.Ended(priority, serviceTime)
 	p.running--
 	p.grantSlots()
 }
 
 // grantSlots lets waiting statements run while slots are free. The caller holds mu.
 func (p *Pool) grantSlots() {
+	now := p.clock()
+	p.refuseHopeless(now)
 	for p.running < p.limits.maxRunning {
-		w, ok := p.slotWaiters.Pop(p.clock(), p.gate.ServiceTime())
+		w, ok := p.slotWaiters.Pop(now, p.gate.ServiceTime())
 		if !ok {
 			return
 		}
 		p.running++
-		close(w.granted)
+		w.granted <- nil
 	}
 }
 
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -176,21 +176,21 @@
 	p, _ := group.Pool("ledger-0")
 	p.setLimits(limits{maxOpen: 1, maxRunning: 1, idle: maxIdleTime})
 	soon, later := time.Now().Add(timeout), time.Now().Add(2*timeout)
-	g.Expect(p.acquireSlot(timeout, admit.NewRank(1, soon))).To(gomega.BeTrue())
-	g.Expect(p.acquireSlot(time.Millisecond, admit.NewRank(0, soon))).To(gomega.BeFalse())
+	g.Expect(p.acquireSlot(timeout, admit.NewRank(1, soon))).To(gomega.Succeed())
+	g.Expect(result.CodeOf(p.acquireSlot(time.Millisecond, admit.NewRank(0, soon)))).To(gomega.Equal(result.QueueFull))
 	order := make(chan int, 3)
 	var running sync.WaitGroup
 	for n, rank := range []admit.Rank{admit.NewRank(2, later), admit.NewRank(2, soon), admit.NewRank(1, later)} {
 		running.Go(func() {
-			p.acquireSlot(timeout, rank)
+			_ = p.acquireSlot(timeout, rank)
 			order <- n
-			p.releaseSlot(time.Millisecond)
+			p.releaseSlot(1, time.Millisecond)
 		})
 		for p.State().Queue <= n {
 			time.Sleep(time.Millisecond)
 		}
 	}
-	p.releaseSlot(time.Millisecond)
+	p.releaseSlot(1, time.Millisecond)
 	g.Expect([]int{<-order, <-order, <-order}).To(gomega.Equal([]int{2, 1, 0}))
 	running.Wait()
 	g.Expect(p.State().Running).To(gomega.BeZero())
