core/admit, io/pool: judge a statement by the service time of its priority

Cause: admission and lateness took the mean of all statements; on a server at a fifth of its speed, short urgent statements counted as late on arrival. Change: each priority has its own mean and deviation for statements of workspaces.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -22,9 +22,41 @@
 // Gate admits or refuses statements for one server. It averages how long the connections to the server are held and how long
 // the server takes for a statement. The zero value is ready to use. A Gate is not safe for concurrent use.
 type Gate struct {
-	meanHoldTime     time.Duration
-	meanServiceTime  time.Duration
-	serviceDeviation time.Duration // mean of the differences between service times and their mean
+	meanHoldTime time.Duration
+	service      serviceTime
+}
+
+// serviceTime averages how long statements take.
+type serviceTime struct {
+	mean      time.Duration
+	deviation time.Duration // mean of the differences between service times and their mean
+}
+
+func (s *serviceTime) add(d time.Duration) {
+	if s.mean > 0 {
+		difference := max(d-s.mean, s.mean-d)
+		s.deviation += time.Duration(newestWeight * float64(difference-s.deviation))
+	}
+	s.mean = updateAverage(s.mean, d)
+}
+
+// most returns the time within which most statements end.
+func (s *serviceTime) most() time.Duration { return s.mean + deviationsAboveMean*s.deviation }
+
+// meanOr returns the mean, or d if no statement has ended.
+func (s *serviceTime) meanOr(d time.Duration) time.Duration {
+	if s.mean == 0 {
+		return d
+	}
+	return s.mean
+}
+
+// mostOr returns the time within which most statements end, or d if none has ended.
+func (s *serviceTime) mostOr(d time.Duration) time.Duration {
+	if s.mean == 0 {
+		return d
+	}
+	return s.most()
 }
 
 // RecordHoldTime records how long a connection was held for a statement or a transaction.
@@ -33,18 +65,10 @@
 }
 
 // RecordServiceTime records how long the server took for a statement, including the time in the server's own queue.
-func (g *Gate) RecordServiceTime(d time.Duration) {
-	if g.meanServiceTime > 0 {
-		difference := max(d-g.meanServiceTime, g.meanServiceTime-d)
-		g.serviceDeviation += time.Duration(newestWeight * float64(difference-g.serviceDeviation))
-	}
-	g.meanServiceTime = updateAverage(g.meanServiceTime, d)
-}
+func (g *Gate) RecordServiceTime(d time.Duration) { g.service.add(d) }
 
 // ServiceTime returns the time within which the server ends most statements.
-func (g *Gate) ServiceTime() time.Duration {
-	return g.meanServiceTime + deviationsAboveMean*g.serviceDeviation
-}
+func (g *Gate) ServiceTime() time.Duration { return g.service.most() }
 
 func updateAverage(mean, sample time.Duration) time.Duration {
 	if mean == 0 {
@@ -65,7 +89,7 @@
 // Admits reports whether a statement may wait for one of n connections behind ahead others. It may if its answer, which takes
 // the expected wait and the server's time for a statement, is expected within timeout.
 func (g *Gate) Admits(ahead, n int, timeout time.Duration) bool {
-	return g.ExpectedWait(ahead, n)+g.meanServiceTime <= timeout
+	return g.ExpectedWait(ahead, n)+g.service.mean <= timeout
 }
 
 // AdmitsToSlot reports whether a statement may wait for one of n slots of the server. Ahead is how many statements are ahead of it
@@ -74,19 +98,35 @@
 	if ahead < 0 {
 		return true
 	}
-	return g.SlotWait(ahead, n)+g.meanServiceTime <= timeout
+	return g.SlotWait(ahead, n)+g.service.mean <= timeout
 }
 
 // SlotWait returns the expected wait for one of n slots, all of which are in use, if ahead statements wait already.
 func (g *Gate) SlotWait(ahead, n int) time.Duration {
-	return g.meanServiceTime * time.Duration(ahead+1) / time.Duration(max(n, 1))
+	return g.service.mean * time.Duration(ahead+1) / time.Duration(max(n, 1))
+}
+
+// AdmitsPlace reports whether a statement may wait for one of n slots at this place of the queue. Ahead is how many statements are ahead
+// of it, negative if a slot is free. For a statement of a workspace, the wait is also expected from the pace at which the queue is served,
+// with a margin, and the statement counts as taking as long as most of its priority: one that is admitted and cannot be answered in time is
+// refused later than necessary.
+func (g *Gate) AdmitsPlace(p Place, ahead, n int, timeout time.Duration) bool {
+	if !p.named || ahead < 0 {
+		return g.AdmitsToSlot(ahead, n, timeout)
+	}
+	return max(g.SlotWait(ahead, n), p.cautiousWait())+p.service <= timeout
+}
+
+// AdmitsPlaceForConn reports the same for one of n connections, all of which are in use.
+func (g *Gate) AdmitsPlaceForConn(p Place, n int, timeout time.Duration) bool {
+	if !p.named {
+		return g.Admits(p.ahead, n, timeout)
+	}
+	return max(g.ExpectedWait(p.ahead, n), p.cautiousWait())+p.service <= timeout
 }
 
-// AdmitsAfter reports whether a statement may wait if wait is expected from the pace at which the queue is served. Its answer must be
-// expected within timeout even if the wait is longer than the average and the statement takes longer than most: a statement
-// that is admitted and then cannot be answered in time is refused later than necessary.
-func (g *Gate) AdmitsAfter(wait, timeout time.Duration) bool {
-	return wait <= 0 || wait+time.Duration(waitMargin*float64(wait))+g.ServiceTime() <= timeout
+func (p Place) cautiousWait() time.Duration {
+	return p.wait + time.Duration(waitMargin*float64(p.wait))
 }
 
 const (
--- a/core/admit/lane.go
+++ b/core/admit/lane.go
@@ -14,6 +14,7 @@
 // lane holds the waiting statements of one workspace in one priority, in the order of the times until which their answers are useful.
 type lane[T comparable] struct {
 	workspace string
+	service   *serviceTime // of the statements of its priority
 	weight    float64
 	start     float64 // start tag of the next statement
 	heap      *laneHeap[T]
@@ -32,12 +33,16 @@
 	return sort.Search(l.len(), func(i int) bool { return l.waiting[l.first+i].rank.usefulUntil.After(t) })
 }
 
-// late returns how many statements, which are the first ones, are late.
-func (l *lane[T]) late(now time.Time, serviceTime time.Duration) int {
-	if l.len() == 0 || !l.waiting[l.first].rank.isLate(now, serviceTime) {
+// late returns how many statements, which are the first ones, are late, if statements take all. Those of a workspace count as taking what
+// most of their priority take.
+func (l *lane[T]) late(now time.Time, all time.Duration) int {
+	if l.workspace != "" {
+		all = l.service.mostOr(all)
+	}
+	if l.len() == 0 || !l.waiting[l.first].rank.isLate(now, all) {
 		return 0
 	}
-	end := now.Add(serviceTime)
+	end := now.Add(all)
 	return sort.Search(l.len(), func(i int) bool { return !end.After(l.waiting[l.first+i].rank.usefulUntil) })
 }
 
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -96,7 +96,7 @@
 	virtual   float64       // start tag up to which workspaces have had their shares
 	overtaken time.Duration // expected service time of more urgent statements that started while it waited, since its last start
 	lastStart time.Time     // of one of this level's statements
-	service   time.Duration // mean service time, 0 if unknown
+	service   serviceTime   // of this level's statements
 	pace      pace
 }
 
@@ -182,7 +182,7 @@
 	v := q.levels[n]
 	for _, other := range q.levels[n+1:] {
 		if other.waiting > 0 {
-			other.overtaken += v.serviceTime(serviceTime)
+			other.overtaken += v.service.meanOr(serviceTime)
 		}
 	}
 	v.overtaken, v.lastStart = 0, now
@@ -266,8 +266,7 @@
 
 // Ended records that a statement of this priority has taken so long.
 func (q *Queue[T]) Ended(priority int, took time.Duration) {
-	v := q.level(priority)
-	v.service = updateAverage(v.service, took)
+	q.level(priority).service.add(took)
 }
 
 // next returns the level, the lane and the place there of the statement to run next. There must be one.
@@ -301,7 +300,11 @@
 // would go first for as long as the overload lasts. It returns nothing if all waiting statements are late, since they run next then,
 // and no statements of open transactions.
 func (q *Queue[T]) RemoveHopeless(now time.Time, serviceTime time.Duration) []T {
-	if q.earliestLate.IsZero() || !now.Add(serviceTime).After(q.earliestLate) {
+	longest := serviceTime
+	for _, v := range q.levels {
+		longest = max(longest, v.service.mostOr(0))
+	}
+	if q.earliestLate.IsZero() || !now.Add(longest).After(q.earliestLate) {
 		return nil
 	}
 	late, earliest := 0, time.Time{}
@@ -335,9 +338,18 @@
 
 // Place is where a new statement would come in a queue.
 type Place struct {
-	ahead int
-	own   int
-	wait  time.Duration
+	ahead   int
+	own     int
+	wait    time.Duration
+	service time.Duration // within which the server ends most statements of its priority
+	named   bool          // it belongs to a workspace
+}
+
+// Plus returns the place of a statement that waits in two queues.
+func (p Place) Plus(other Place) Place {
+	p.ahead, p.own, p.wait = p.ahead+other.ahead, p.own+other.own, p.wait+other.wait
+	p.service = max(p.service, other.service)
+	return p
 }
 
 // Ahead returns how many of the waiting statements would run before it: the more urgent ones, those of its workspace whose time runs out
@@ -353,7 +365,7 @@
 
 // Place returns where a new statement of this rank would come at now, if statements take serviceTime.
 func (q *Queue[T]) Place(r Rank, now time.Time, serviceTime time.Duration) Place {
-	p := Place{}
+	p := Place{named: r.workspace != "", service: serviceTime}
 	for _, v := range q.levels {
 		switch {
 		case v.priority > r.priority:
@@ -364,7 +376,7 @@
 		}
 		own, tag := v.place(r, now, serviceTime)
 		ahead := own + v.turnsBefore(r, tag, now, serviceTime)
-		p.ahead, p.own = p.ahead+ahead, own
+		p.ahead, p.own, p.service = p.ahead+ahead, own, v.service.mostOr(serviceTime)
 		if r.workspace != "" && v.waiting > 0 {
 			p.wait = max(time.Duration(ahead+1)*v.pace.gap, v.pace.timeTo(tag-v.virtual))
 		}
@@ -379,22 +391,15 @@
 
 // floorIsDue reports whether a statement of the level runs next although more urgent ones wait.
 func (v *level[T]) floorIsDue(now time.Time, serviceTime time.Duration) bool {
-	return v.overtaken >= floorTurns*v.serviceTime(serviceTime) && now.Sub(v.lastStart) >= v.serviceTime(serviceTime)
-}
-
-// serviceTime returns the mean service time of the level's statements, or that of all statements if it is unknown.
-func (v *level[T]) serviceTime(all time.Duration) time.Duration {
-	if v.service == 0 {
-		return all
-	}
-	return v.service
+	mean := v.service.meanOr(serviceTime)
+	return v.overtaken >= floorTurns*mean && now.Sub(v.lastStart) >= mean
 }
 
 // push adds a statement.
 func (v *level[T]) push(w waiter[T], now time.Time) {
 	l := v.lanes[w.rank.workspace]
 	if l == nil {
-		l = &lane[T]{workspace: w.rank.workspace, start: math.Inf(-1)}
+		l = &lane[T]{workspace: w.rank.workspace, service: &v.service, start: math.Inf(-1)}
 		v.lanes[l.workspace] = l
 	}
 	l.weight = w.rank.weight
--- a/core/admit/room_test.go
+++ b/core/admit/room_test.go
@@ -31,6 +31,7 @@
 	hotWorkspace int // 0 for none; workspace 1 is the greatest
 	hotKind      int // -1 for none
 	x            float64
+	slow         float64 // factor of all service times in that third, 0 for 1
 	steady       float64 // factor of the first kind's rate all the time, 0 for 1
 	length       time.Duration
 }
@@ -78,6 +79,9 @@
 				}
 				const spread = 0.7
 				service := time.Duration(float64(k.service) * math.Exp(spread*r.NormFloat64()-spread*spread/2))
+				if m.slow > 0 && at > m.length/3 && at < m.length*2/3 {
+					service = time.Duration(m.slow * float64(service))
+				}
 				all = append(all, roomArrival{arrival: arrival{kind: i, at: time.Unix(0, 0).Add(at), service: service}, workspace: w})
 			}
 		}
@@ -131,7 +135,7 @@
 		}
 		target, r := m.kinds[a.kind].target, rank(*a)
 		place := q.Place(r, a.at, g.ServiceTime())
-		if g.AdmitsToSlot(place.Ahead(), m.slots, target) && g.AdmitsAfter(place.Wait(), target) {
+		if g.AdmitsPlace(place, place.Ahead(), m.slots, target) {
 			q.Push(i, r, a.at)
 		} else {
 			a.refused = true
@@ -274,6 +278,37 @@
 	}
 }
 
+// Guards against urgent statements that are refused on a server at a fifth of its speed since they are expected to take as long as others,
+// and against answers that come too late there.
+func TestSlowServer(t *testing.T) {
+	m := room{slots: 6, load: 0.5, kinds: roomKinds, workspaces: 20, hotKind: -1, length: 60 * time.Second, slow: 5}
+	count := func(all []roomArrival) (inTime, late, offered [3]int) {
+		for _, a := range all {
+			if since := a.at.Sub(time.Unix(0, 0)); since < m.length/3 || since > m.length*2/3 {
+				continue
+			}
+			offered[a.kind]++
+			switch {
+			case a.refused:
+			case a.latency <= roomKinds[a.kind].target:
+				inTime[a.kind]++
+			default:
+				late[a.kind]++
+			}
+		}
+		return inTime, late, offered
+	}
+	was, wasLate, offered := count(m.before(1))
+	is, isLate, _ := count(m.after(1))
+	t.Logf("of %v statements, %v in time and %v late without workspaces, %v and %v with them", offered, was, wasLate, is, isLate)
+	if is[0] < offered[0]*85/100 {
+		t.Errorf("%d of %d urgent statements in time", is[0], offered[0])
+	}
+	if n := isLate[1] + isLate[2]; n > (is[1]+is[2])/5 {
+		t.Errorf("%d answers of less urgent statements in time, %d late", is[1]+is[2], n)
+	}
+}
+
 // Guards against an overload by all workspaces that some pay for more than others: each gets about the same part of what it asks for.
 func TestSharesFollowWeights(t *testing.T) {
 	m := room{slots: 6, load: 2, kinds: roomKinds, workspaces: 20, hotKind: -1, length: 60 * time.Second}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -312,12 +312,11 @@
 	place := p.connWaiters.Place(rank, now, p.gate.ServiceTime())
 	p.connWaiters.Push(w, rank, now)
 	p.grantConns(now)
-	if len(w.granted) == 0 && !(p.gate.Admits(place.Ahead(), p.limits.maxOpen, request.AnswerWithin) &&
-		p.gate.AdmitsAfter(place.Wait(), request.AnswerWithin)) {
+	if len(w.granted) == 0 && !p.gate.AdmitsPlaceForConn(place, p.limits.maxOpen, request.AnswerWithin) {
 		p.connWaiters.Remove(w)
 		wait := max(p.gate.ExpectedWait(place.Ahead(), p.limits.maxOpen), place.Wait())
 		p.mu.Unlock()
-		return nil, p.overloadedError("a connection to", rank, place.Ahead(), place.Own(), wait)
+		return nil, p.overloadedError("a connection to", rank, place, place.Ahead(), wait)
 	}
 	p.mu.Unlock()
 	return p.waitForConn(w, deadline)
@@ -325,30 +324,29 @@
 
 // checkSlots returns an error if the answer to a statement that waits for a slot is not expected in its time. The caller holds mu.
 func (p *Pool) checkSlots(request AcquireRequest, now time.Time, rank admit.Rank) error {
-	slots := p.slotWaiters.Place(rank, now, p.gate.ServiceTime())
-	ahead, own, wait := p.running+slots.Ahead()-p.limits.maxRunning, slots.Own(), slots.Wait()
+	place := p.slotWaiters.Place(rank, now, p.gate.ServiceTime())
+	ahead := p.running - p.limits.maxRunning
 	if p.limits.workspaces {
 		// Statements wait for a connection until they are about to run.
-		conns := p.connWaiters.Place(rank, now, p.gate.ServiceTime())
-		ahead += conns.Ahead() + max(p.conns.Starting()-p.slotWaiters.Len(), 0)
-		own, wait = own+conns.Own(), wait+conns.Wait()
+		place = place.Plus(p.connWaiters.Place(rank, now, p.gate.ServiceTime()))
+		ahead += max(p.conns.Starting()-p.slotWaiters.Len(), 0)
 	}
-	if p.gate.AdmitsToSlot(ahead, p.limits.maxRunning, request.AnswerWithin) &&
-		(ahead < 0 || p.gate.AdmitsAfter(wait, request.AnswerWithin)) {
+	ahead += place.Ahead()
+	if p.gate.AdmitsPlace(place, ahead, p.limits.maxRunning, request.AnswerWithin) {
 		return nil
 	}
-	return p.overloadedError("a slot of", rank, ahead, own, max(p.gate.SlotWait(ahead, p.limits.maxRunning), wait))
+	return p.overloadedError("a slot of", rank, place, ahead, max(p.gate.SlotWait(ahead, p.limits.maxRunning), place.Wait()))
 }
 
 // overloadedError returns the reason for the refusal of a statement that would wait too long for a resource of the server.
-func (p *Pool) overloadedError(resource string, rank admit.Rank, ahead, own int, wait time.Duration) error {
+func (p *Pool) overloadedError(resource string, rank admit.Rank, place admit.Place, ahead int, wait time.Duration) error {
 	if rank.Workspace() == "" {
 		return result.New(result.Overloaded, "%d statements are ahead in the queue for %s server %s; the expected wait is %s",
 			ahead, resource, p.server.ID(), wait)
 	}
 	return result.New(result.Overloaded,
 		"%d statements are ahead in the queue for %s server %s, %d of them of workspace %q; with its share the expected wait is %s",
-		ahead, resource, p.server.ID(), own, rank.Workspace(), wait)
+		ahead, resource, p.server.ID(), place.Own(), rank.Workspace(), wait)
 }
 
 // hopelessError returns the reason for the refusal of a statement that cannot be answered in time any more.
