--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -481,10 +481,16 @@
 }
 
 // start removes a statement that runs now, and charges its workspace.
+//
+// A workspace that is beyond its share and goes out of turn, since those within theirs cannot go, is not charged: it takes what nobody else
+// can use. Otherwise its debt would grow for as long as the others lack something.
 func (v *level[T]) start(l *lane[T], at int, now time.Time) T {
-	v.pace.start(now, v.virtual, len(v.beyond.lanes) > 0)
+	inTurn := l.start <= v.virtual
+	v.pace.start(now, v.virtual, inTurn && len(v.beyond.lanes) > 0)
 	heap.Remove(l.heap, l.heapIndex)
-	l.start += 1 / l.weight
+	if inTurn {
+		l.start += 1 / l.weight
+	}
 	item := l.remove(at)
 	v.waiting--
 	if l.len() > 0 {
@@ -567,7 +573,7 @@
 // begin records that the first statement waits.
 func (p *pace) begin(now time.Time, virtual float64) { p.since, p.virtual = now, virtual }
 
-// start records that a statement starts. Beyond says that a workspace with more than its share has statements that wait.
+// start records that a statement starts. Beyond says that a workspace with more than its share has statements that wait for their turn.
 func (p *pace) start(now time.Time, virtual float64, beyond bool) {
 	took, advance := now.Sub(p.since), virtual-p.virtual
 	if p.gap == 0 {
--- a/core/admit/queue_test.go
+++ b/core/admit/queue_test.go
@@ -179,7 +179,7 @@
 	for range 100 {
 		var q Queue[int]
 		for i := range r.IntN(20) {
-			q.Push(i, NewRank(r.IntN(3), start.Add(time.Duration(r.IntN(100))*time.Millisecond)))
+			q.Push(i, NewRank(r.IntN(3), start.Add(time.Duration(r.IntN(100))*time.Millisecond)), start)
 		}
 		order, inTime := q.Order(nil, start.Add(30*time.Millisecond), 20*time.Millisecond)
 		for i, want := range order {
--- a/core/admit/room_test.go
+++ b/core/admit/room_test.go
@@ -431,7 +431,7 @@
 }
 
 // Guards against an order that differs from what Pop returns, and against statements that start out of turn and are not charged.
-func TestOrderIsThatOfPop(t *testing.T) {
+func TestOrderOfSharesIsThatOfPop(t *testing.T) {
 	for seed := range uint64(5) {
 		r := rand.New(rand.NewPCG(seed, 4))
 		now := time.Unix(0, 0)
@@ -479,6 +479,13 @@
 	for i := range 2 {
 		q.Push(200+i, NewRank(1, now.Add(time.Hour)).InWorkspace("b", 1), now)
 	}
+	// Statements that run since the others cannot make no debt.
+	for i := 50; i < 90; i++ {
+		q.Start(i, now, 0)
+	}
+	if tag := q.levels[0].lanes["a"].start; tag > q.levels[0].virtual+1 {
+		t.Errorf("start tag %.0f at virtual time %.0f", tag, q.levels[0].virtual)
+	}
 	if order, _ := q.Order(nil, now, 0); order[0] != 200 || order[1] != 201 {
 		t.Errorf("the order begins with %v, want the workspace that has had nothing", order[:2])
 	}
