--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -103,15 +103,13 @@
 // Len returns the number of waiting statements.
 func (q *Queue[T]) Len() int { return q.length }
 
-// Waiting returns the number of waiting statements of a workspace.
-func (q *Queue[T]) Waiting(workspace string) int {
-	n := 0
+// CountByWorkspace adds the number of waiting statements of each workspace to counts.
+func (q *Queue[T]) CountByWorkspace(counts map[string]int) {
 	for _, v := range q.levels {
-		if l := v.lanes[workspace]; l != nil {
-			n += l.len()
+		for l := range v.active() {
+			counts[l.workspace] += l.len()
 		}
 	}
-	return n
 }
 
 // Push adds a statement that waits from now on, behind those of the same rank.
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -909,6 +909,8 @@
 	Replaced   int64  `json:"replaced"` // idle connections that were closed for another workspace
 	// Workspaces holds the number of connections of each workspace that has some.
 	Workspaces map[string]int `json:"workspaces,omitempty"`
+	// Queued holds the number of statements and requests of each workspace that wait for a slot or a connection.
+	Queued map[string]int `json:"queued,omitempty"`
 	// Owners are the VMs that may hold the connections for other VMs, the owner first; empty if there are none.
 	Owners []string `json:"owners,omitempty"`
 }
@@ -917,14 +919,16 @@
 func (p *Pool) State() State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var workspaces map[string]int
+	var workspaces, queued map[string]int
 	if p.limits.workspaces {
-		workspaces = p.conns.ByWorkspace()
+		workspaces, queued = p.conns.ByWorkspace(), make(map[string]int)
+		p.connWaiters.CountByWorkspace(queued)
+		p.slotWaiters.CountByWorkspace(queued)
 	}
 	return State{
 		Server: p.server.ID(), Limit: p.limits.maxOpen, Open: p.conns.Open(), Idle: len(p.idle), Waiting: p.connWaiters.Len(),
 		Running: p.running, MaxRunning: p.limits.maxRunning, Shared: p.limits.shared, Queue: p.slotWaiters.Len(),
-		Opening: p.conns.Opening(), Opened: p.opened, Replaced: p.replaced, Workspaces: workspaces,
+		Opening: p.conns.Opening(), Opened: p.opened, Replaced: p.replaced, Workspaces: workspaces, Queued: queued,
 	}
 }
 
--- a/io/pool/room_test.go
+++ b/io/pool/room_test.go
@@ -63,6 +63,7 @@
 		p.slotWaiters.Push(&slotWaiter{rank: rank, granted: make(chan error, 1)}, rank, now)
 	}
 	p.mu.Unlock()
+	g.Expect(p.State().Queued).To(gomega.Equal(map[string]int{"hot": 100}))
 	check := func(workspace string) error {
 		rank := p.rank(workspace, 1, now.Add(timeout))
 		p.mu.Lock()
