core/quota, io/grant: hold the limits of workspaces over all VMs

Change: the limit of a workspace is cut into up to four slots, each held by one VM that grants tokens which end; a VM asks the holders for the operations of its callers in batches. No call to the store; the list of live VMs and the leases say who holds a slot.

--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -15,6 +15,7 @@
 	CallerProtocol     ID = 201
 	CallerClosed       ID = 202
 	StatementDone      ID = 203
+	QuotaRefused       ID = 204
 	RouteRetry         ID = 300
 	RouteNoBarrier     ID = 301
 	EndptDown          ID = 400
@@ -37,6 +38,8 @@
 	MemberLeaving      ID = 604
 	OwnerFailed        ID = 605
 	ForwardFailed      ID = 606
+	HolderChanged      ID = 607
+	HolderFailed       ID = 608
 	PrimarySilent      ID = 700
 	PromotionStarted   ID = 701
 	PromotionDone      ID = 702
@@ -82,6 +85,7 @@
 	{CallerProtocol, LayerCaller, "caller violated the protocol", "Identify the client; its connection was closed and other callers are not affected."},
 	{CallerClosed, LayerCaller, "caller connection closed", "None."},
 	{StatementDone, LayerCaller, "statement ended", "Look up the result code; the fields say which server ran it and for how long."},
+	{QuotaRefused, LayerCaller, "operations refused for the quota of their workspace", "None for over_limit, unless the limit in the configuration is too low; for no_holder, look for the holders of the workspace's slots (607, 608)."},
 	{RouteRetry, LayerRoute, "unit of work retried", "None, unless the rate is high; then check the servers that it names."},
 	{RouteNoBarrier, LayerRoute, "barrier for a session not confirmed", "Check which servers of the group can be reached from this data centre."},
 	{EndptDown, LayerEndpoint, "server unreachable", "Check the server and the network between it and this VM."},
@@ -104,6 +108,8 @@
 	{MemberLeaving, LayerMember, "VM is leaving", "None; it finishes its work and others take over its servers."},
 	{OwnerFailed, LayerMember, "owner of servers does not answer", "None, unless it repeats; then check that VM and its network path."},
 	{ForwardFailed, LayerMember, "forwarded request refused or failed", "Look up the result code; the line of the VM that forwarded the request says what its caller was told."},
+	{HolderChanged, LayerMember, "slots of quotas held by this VM changed", "None."},
+	{HolderFailed, LayerMember, "holder of slots of quotas does not answer", "None, unless it repeats; then check that VM and its network path."},
 	{PrimarySilent, LayerFailover, "primary does not report its status", "Check the primary; a promotion follows if other VMs agree."},
 	{PromotionStarted, LayerFailover, "promotion started", "None."},
 	{PromotionDone, LayerFailover, "promotion done", "Find out why the old primary failed."},
--- a/core/event/level.go
+++ b/core/event/level.go
@@ -46,6 +46,7 @@
 	SeedsUnreachable:  LevelWarn,
 	MemberDead:        LevelWarn,
 	OwnerFailed:       LevelWarn,
+	HolderFailed:      LevelWarn,
 	PrimarySilent:     LevelWarn,
 	PromotionStarted:  LevelWarn,
 	PromotionDone:     LevelWarn,
--- a/core/layout/workspace.go
+++ b/core/layout/workspace.go
@@ -48,6 +48,16 @@
 // NeedsKeys reports whether callers are admitted by key.
 func (c Config) NeedsKeys() bool { return c.byKey != nil }
 
+// Limited reports whether a workspace has a limit of operations.
+func (c Config) Limited() bool {
+	for _, w := range c.workspaces {
+		if w.Limited() {
+			return true
+		}
+	}
+	return false
+}
+
 // KeyCount returns the number of keys.
 func (c Config) KeyCount() int { return len(c.byKey) }
 
--- /dev/null
+++ b/core/quota/holder.go
@@ -0,0 +1,115 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"verbenagate/core/lead"
+	"verbenagate/core/owner"
+)
+
+const (
+	// maxCandidates is how many VMs may be asked for a key. All but the first are asked while those before it do not hold the key.
+	maxCandidates = 3
+	// ListLife is how long a list of live VMs that names a VM as holder of a key lets it grant tokens. A VM that has just got its lease
+	// waits as long, until all others have seen it. It is as long as a lease, so that a holder outlasts the same outages of the store as
+	// a VM that uses a primary.
+	ListLife = lead.LeaseDuration
+	// clockMargin is added to the wait: the clocks of two VMs may run at rates that differ a little.
+	clockMargin = 100 * time.Millisecond
+)
+
+// Candidates returns the VMs that may hold a key, the holder first. For each key there is one fixed order of all VMs that could ever
+// live, and the holder is the first one that is live; Holder relies on that. Larger VMs come first. Of equal ones, each slot prefers
+// others, so that the slots of a workspace are seldom held by the same VM.
+func Candidates(live []lead.Member, k Key) []lead.Member {
+	byName := make(map[string]lead.Member, len(live))
+	names := make([]string, 0, len(live))
+	for _, m := range live {
+		if m.Address() != "" {
+			byName[m.Name()] = m
+			names = append(names, m.Name())
+		}
+	}
+	order := owner.Order("quota/"+k.String(), names)
+	slices.SortStableFunc(order, func(a, b string) int {
+		return cmp.Or(cmp.Compare(byName[b].Cores(), byName[a].Cores()), cmp.Compare(colourDistance(a, k.slot), colourDistance(b, k.slot)))
+	})
+	var top []lead.Member
+	for _, name := range order[:min(len(order), maxCandidates)] {
+		top = append(top, byName[name])
+	}
+	return top
+}
+
+// colourDistance is 0 for the VMs that a slot prefers and 1 for the others.
+func colourDistance(vm string, slot int) int {
+	if int(xxhash.Sum64String(vm)%maxSlots) == slot {
+		return 0
+	}
+	return 1
+}
+
+// Holder decides which keys this VM holds. It is not safe for concurrent use.
+//
+// A VM holds a key while its lease is valid and has been so for ListLife without a gap, and while one of the lists of live VMs of the
+// last ListLife names it as the first candidate. Two VMs cannot both hold a key: the one that comes first in the order of the key has
+// been live for ListLife, so it is in each list on which the other one could rely.
+type Holder struct {
+	leaseSince, leaseUntil time.Time
+	named                  map[Key]naming
+}
+
+// naming says that lists of live VMs named this VM as holder.
+type naming struct {
+	since time.Time // from when on it has held the key without a gap, if its lease was valid
+	asOf  time.Time // of the last list
+}
+
+// SetLease sets since when this VM's lease has been valid without a gap, and its end.
+func (h *Holder) SetLease(since, until time.Time) { h.leaseSince, h.leaseUntil = since, until }
+
+// SetNamed records a list of live VMs as of asOf, in which this VM is the first candidate of keys.
+func (h *Holder) SetNamed(keys []Key, asOf, now time.Time) {
+	if h.named == nil {
+		h.named = make(map[Key]naming)
+	}
+	for _, k := range keys {
+		n, ok := h.named[k]
+		if !ok || !now.Before(n.asOf.Add(ListLife)) {
+			n = naming{since: now}
+		}
+		if asOf.After(n.asOf) {
+			n.asOf = asOf
+		}
+		h.named[k] = n
+	}
+}
+
+// Term returns since when this VM has held a key without a gap. It returns false if it does not hold it at now.
+func (h *Holder) Term(k Key, now time.Time) (time.Time, bool) {
+	n, ok := h.named[k]
+	ready := h.leaseSince.Add(ListLife + clockMargin)
+	if !ok || h.leaseSince.IsZero() || now.Before(ready) || !now.Before(h.leaseUntil) || !now.Before(n.asOf.Add(ListLife)) {
+		return time.Time{}, false
+	}
+	if ready.After(n.since) {
+		return ready, true
+	}
+	return n.since, true
+}
+
+// Named returns the keys of which lists of the last ListLife name this VM as holder.
+func (h *Holder) Named(now time.Time) []Key {
+	var keys []Key
+	for k, n := range h.named {
+		if now.Before(n.asOf.Add(ListLife)) {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b Key) int { return cmp.Or(cmp.Compare(a.shard, b.shard), cmp.Compare(a.slot, b.slot)) })
+	return keys
+}
--- /dev/null
+++ b/core/quota/limit.go
@@ -0,0 +1,99 @@
+// Package quota decides how many operations a workspace may begin, so that its limit holds over all VMs.
+//
+// The limit of a workspace is cut into a few fixed parts, the slots. Each slot is held by one VM, its holder, which has a Ledger for it.
+// A VM whose callers begin operations gets tokens for them from a holder. Tokens end soon. Since each Ledger keeps within its part, the
+// parts need no agreement with each other, and the loss of a holder costs its part only.
+package quota
+
+import (
+	"math"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxSlots is how many slots a workspace has at most. A VM that fails takes the part of its slots with it until they have a new
+	// holder.
+	maxSlots = 4
+	// minSlotBurst is the smallest burst of one of several slots. With a burst of 1, a slot could grant no token while one is in use.
+	minSlotBurst = 2
+	// shards is the number of groups of workspaces that have the same holders. It bounds the number of holders that a VM calls.
+	shards = 8
+)
+
+// Limit is a limit of operations: in a window of any length d, at most rate x d + burst operations.
+type Limit struct {
+	rate    float64 // operations per second
+	burst   float64 // operations
+	version uint64  // of the configuration that sets the limit
+}
+
+// NewLimit returns a limit that a version of the configuration sets. The burst is at least 1: a workspace with a rate may begin an
+// operation.
+func NewLimit(rate, burst float64, version uint64) Limit {
+	return Limit{rate: rate, burst: max(burst, 1), version: version}
+}
+
+// Rate returns the operations per second.
+func (l Limit) Rate() float64 { return l.rate }
+
+// Burst returns the operations that may begin at once.
+func (l Limit) Burst() float64 { return l.burst }
+
+// Version returns the version of the configuration that sets the limit.
+func (l Limit) Version() uint64 { return l.version }
+
+// Slots returns the number of slots of the workspace.
+func (l Limit) Slots() int { return int(min(max(math.Floor(l.burst/minSlotBurst), 1), maxSlots)) }
+
+// Slot returns the part of the limit that belongs to a slot. The bursts of all slots but the first are whole numbers, and the rate is
+// divided in the same proportion. The parts add up to the limit. A slot that the workspace does not have gets nothing.
+func (l Limit) Slot(slot int) Limit {
+	n := l.Slots()
+	if slot < 0 || slot >= n {
+		return Limit{version: l.version}
+	}
+	whole := int(l.burst)
+	part := float64(whole / n)
+	if slot < whole%n {
+		part++
+	}
+	if slot == 0 {
+		part += l.burst - float64(whole)
+	}
+	return Limit{rate: l.rate * part / l.burst, burst: part, version: l.version}
+}
+
+// Key names the slots that are held together: one slot of all workspaces of a shard.
+type Key struct {
+	shard, slot int
+}
+
+// KeyOf returns the key of a slot of a workspace.
+func KeyOf(workspace string, slot int) Key {
+	return Key{shard: ShardOf(workspace), slot: slot}
+}
+
+// ShardOf returns the shard of a workspace.
+func ShardOf(workspace string) int { return int(xxhash.Sum64String(workspace) % shards) }
+
+// Keys returns all keys.
+func Keys() []Key {
+	all := make([]Key, 0, shards*maxSlots)
+	for shard := range shards {
+		for slot := range maxSlots {
+			all = append(all, Key{shard: shard, slot: slot})
+		}
+	}
+	return all
+}
+
+// Slot returns the slot.
+func (k Key) Slot() int { return k.slot }
+
+// Shard returns the shard of the workspaces.
+func (k Key) Shard() int { return k.shard }
+
+// String returns the key for logs.
+func (k Key) String() string { return strconv.Itoa(k.shard) + "/" + strconv.Itoa(k.slot) }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -17,12 +17,14 @@
 	"golang.org/x/sys/unix"
 
 	"verbenagate/core/event"
+	"verbenagate/core/layout"
 	"verbenagate/core/lead"
 	"verbenagate/core/port"
 	"verbenagate/core/result"
 	"verbenagate/io/elect"
 	"verbenagate/io/entry"
 	"verbenagate/io/every"
+	"verbenagate/io/grant"
 	"verbenagate/io/link"
 	"verbenagate/io/logs"
 	"verbenagate/io/metric"
@@ -84,6 +86,7 @@
 	agents     *relay.Relay
 	owner      *remote.Owner
 	peers      *link.Server
+	quotas     *grant.Desk
 	entry      *entry.Server
 	stopping   atomic.Bool
 	cancel     context.CancelFunc
@@ -99,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	metrics := metric.NewSet(entry.Catalog(metric.NewRegistry()), metric.ReportInterval)
+	metrics := metric.NewSet(grant.Catalog(entry.Catalog(metric.NewRegistry())), metric.ReportInterval)
 	panics := metrics.Counter(entry.Panics)
 	log := logs.NewCounting(lineLog, func(id event.ID) {
 		if id == event.PanicRecovered {
@@ -135,7 +138,10 @@
 	elector.Store(e.elector)
 	agents.SetGranter(e.elector)
 	e.owner = remote.NewOwner(ctx, e.pools, e.elector, forwarder, Clock, log)
+	e.quotas = grant.New(ctx, self, clients, e.elector.LeaseSpan, func() layout.Config { return e.directory.View().Config() }, metrics, Clock, log)
+	e.elector.OnMembers(e.quotas.SetMembers, e.quotas.Holds)
 	e.peers = link.NewServer(ctx, Clock, log)
+	e.quotas.Register(e.peers)
 	agents.Register(e.peers)
 	e.owner.Register(e.peers)
 	if s.Peers() != "" {
@@ -149,6 +155,7 @@
 	e.elector.Start(ctx)
 	e.entry, err = entry.Listen(ctx, s.Callers(), entry.Dependencies{
 		Wrap: a.Wrap, View: e.directory.View, Groups: e.pools, Elector: e.elector, Clock: Clock, Log: log, Metrics: e.metrics,
+		Quota: e.quotas,
 	})
 	if err != nil {
 		cancel()
@@ -214,6 +221,7 @@
 	Elector  elect.State       `json:"elector"`
 	Agents   relay.State       `json:"agents"`
 	Groups   []pool.GroupState `json:"groups"`
+	Quotas   grant.State       `json:"quotas"`
 }
 
 // State returns a dump of the VM's current state.
@@ -221,6 +229,7 @@
 	return State{
 		VM: e.settings.VM(), Ready: e.Ready(), Config: e.directory.View().Config().Version(), Sessions: e.entry.Sessions(),
 		Elector: e.elector.State(), Agents: e.agents.State(), Groups: e.pools.State(),
+		Quotas: e.quotas.State(),
 	}
 }
 
@@ -268,6 +277,7 @@
 		e.directory.Wait()
 		e.peers.Wait()
 		e.owner.Wait()
+		e.quotas.Wait()
 		e.agents.Wait()
 		e.background.Wait()
 	}()
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -36,6 +36,8 @@
 	suspectReadInterval = 100 * time.Millisecond
 	// fleetMaxAge is how old the list of VMs may be while no primary is suspected.
 	fleetMaxAge = time.Second
+	// freshReadInterval applies while this VM holds slots of quotas.
+	freshReadInterval = time.Second
 	// startupReadInterval applies while the list names at most one VM: after a start it may lack most of them.
 	startupReadInterval = 800 * time.Millisecond
 	// rankDelay staggers the VMs that may act on a group, so that normally only one of them acts.
@@ -118,6 +120,9 @@
 	recordsRead   bool // all records have been read at least once
 	lease         lead.Lease
 	leaseHeld     bool
+	leaseSince    time.Time // from when on the lease has been valid without a gap
+	onMembers     func(live []lead.Member, asOf time.Time)
+	needsFresh    func() bool // whether the list of VMs must be read every freshReadInterval
 	storeClock    lead.StoreClock
 	ownRowVersion uint64 // version of this VM's row; 0 if unknown
 	grants        lead.Grants
@@ -170,6 +175,22 @@
 	})
 }
 
+// OnMembers makes the elector call f with each list of live VMs that it reads, and with a time as of which the list is valid. It reads
+// the list every freshReadInterval while needsFresh returns true. It must be called before Start.
+func (e *Elector) OnMembers(f func(live []lead.Member, asOf time.Time), needsFresh func() bool) {
+	e.onMembers, e.needsFresh = f, needsFresh
+}
+
+// LeaseSpan returns since when this VM's lease has been valid without a gap, and its end. Both are zero without a lease.
+func (e *Elector) LeaseSpan() (since, until time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lease.Until().IsZero() {
+		return time.Time{}, time.Time{}
+	}
+	return e.leaseSince, e.lease.Until()
+}
+
 // Wait waits until the elector has ended all that Start began. Call it when the context passed to Start has ended.
 func (e *Elector) Wait() {
 	e.paths.Wait()
@@ -464,6 +485,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if now := e.clock(); !e.lease.Valid(now) {
+		e.leaseSince = now
+	}
 	e.lease.Renew(sent, epoch)
 	if !e.leaseHeld {
 		e.leaseHeld = true
@@ -499,6 +523,7 @@
 	if e.isWatchedPrimarySuspected() {
 		maxAge = suspectReadInterval
 	}
+	sent := e.clock()
 	fleet, err := e.agents.ReadFleet(ctx, maxAge)
 	if err != nil {
 		return
@@ -511,6 +536,9 @@
 	e.paths.SetMembers(fleet.Live())
 	e.pools.SetMembers(fleet.Live(), fleet.Holders())
 	e.agents.SetAgents(agents)
+	if e.onMembers != nil {
+		e.onMembers(fleet.Live(), sent.Add(-maxAge))
+	}
 }
 
 // ReadFleet implements relay.Granter: it returns the live VMs as of at most maxAge ago, from the store if need be.
@@ -546,11 +574,15 @@
 	if e.isWatchedPrimarySuspected() {
 		return suspectReadInterval
 	}
+	needsFresh := e.needsFresh != nil && e.needsFresh()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.members) <= 1 || !e.listed {
 		return startupReadInterval
 	}
+	if needsFresh {
+		return freshReadInterval
+	}
 	return memberReadInterval*3/4 + time.Duration(retry.Jitter()*float64(memberReadInterval)/2)
 }
 
--- /dev/null
+++ b/io/grant/grant.go
@@ -0,0 +1,389 @@
+// Package grant limits the operations of workspaces over all VMs. It gets tokens for the operations of this VM's callers from the VMs
+// that hold the slots of the workspaces, and grants tokens for the slots that this VM holds. The decisions are those of core/quota.
+package grant
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenagate/core/event"
+	"verbenagate/core/layout"
+	"verbenagate/core/lead"
+	"verbenagate/core/owner"
+	"verbenagate/core/quota"
+	"verbenagate/core/result"
+	"verbenagate/io/every"
+	"verbenagate/io/link"
+	"verbenagate/io/logs"
+	"verbenagate/io/metric"
+)
+
+const (
+	// admitTimeout bounds the wait of an operation for a token, callTimeout that for the reply of one VM.
+	admitTimeout = 250 * time.Millisecond
+	callTimeout  = 100 * time.Millisecond
+	// batchDelay is the time between two calls to the same VM. Operations that arrive meanwhile share the next call.
+	batchDelay = 5 * time.Millisecond
+	// failureDelay is how long a VM that did not reply is not asked, and notHolderDelay the same for a slot that a VM does not hold.
+	failureDelay   = time.Second
+	notHolderDelay = 300 * time.Millisecond
+	// sweepInterval is how often unused state is dropped and refusals are logged.
+	sweepInterval = time.Second
+	// maxTokens bounds the tokens of one answer.
+	maxTokens = 1_000_000
+)
+
+// Lease returns since when this VM's lease has been valid without a gap, and its end.
+type Lease func() (since, until time.Time)
+
+// Config returns the configuration in force.
+type Config func() layout.Config
+
+// Desk admits the operations of this VM's callers, and grants tokens to all VMs for the slots that it holds. It is safe for concurrent
+// use.
+type Desk struct {
+	ctx     context.Context
+	started time.Time
+	self    lead.Member
+	clients *link.Clients
+	lease   Lease
+	config  Config
+	clock   func() time.Time
+	log     logs.Logger
+	refused map[reason]metric.Counter
+	asked   metric.Counter
+
+	wallets [lockShards]walletShard
+	ledgers [lockShards]ledgerShard
+
+	mu         sync.Mutex
+	holder     quota.Holder
+	live       []string
+	candidates map[quota.Key][]lead.Member
+	order      map[int][]int // by shard: the order in which this VM asks the slots
+	lines      map[string]*line
+	failed     map[string]time.Time   // by address: until when the VM is not asked
+	notHolder  map[skipKey]time.Time  // until when the VM is not asked for the key
+	terms      map[quota.Key]bool     // keys that this VM held at the last sweep
+	refusals   map[string]*refusalLog // by workspace, since the last sweep
+	dropped    int                    // refusals of workspaces that refusals has no room for
+
+	background sync.WaitGroup
+}
+
+const lockShards = 16
+
+// walletShard holds the wallets of some workspaces.
+type walletShard struct {
+	mu      sync.Mutex
+	wallets map[string]*quota.Wallet
+}
+
+// ledgerShard holds the ledgers of some workspaces.
+type ledgerShard struct {
+	mu      sync.Mutex
+	ledgers map[ledgerKey]*account
+}
+
+type ledgerKey struct {
+	workspace string
+	slot      int
+}
+
+// account is a ledger and the term of the holder for which it counts.
+type account struct {
+	ledger  *quota.Ledger
+	term    time.Time
+	granted int64
+	lastVM  string
+	lastAt  time.Time
+}
+
+type skipKey struct {
+	key     quota.Key
+	address string
+}
+
+// reason says why an operation was refused.
+type reason string
+
+// The reasons.
+const (
+	reasonLimit  reason = "limit"
+	reasonSilent reason = "no_holder"
+)
+
+// New returns the desk of the VM self. Without an address, a VM grants all tokens to itself. The desk ends with ctx.
+func New(ctx context.Context, self lead.Member, clients *link.Clients, lease Lease, config Config, metrics *metric.Set,
+	clock func() time.Time, log logs.Logger,
+) *Desk {
+	d := &Desk{
+		ctx: ctx, started: clock(), self: self, clients: clients, lease: lease, config: config, clock: clock, log: log,
+		refused: map[reason]metric.Counter{
+			reasonLimit:  metrics.Counter(Refused, string(reasonLimit)),
+			reasonSilent: metrics.Counter(Refused, string(reasonSilent)),
+		},
+		asked:      metrics.Counter(Calls),
+		candidates: make(map[quota.Key][]lead.Member), order: make(map[int][]int), lines: make(map[string]*line),
+		failed: make(map[string]time.Time), notHolder: make(map[skipKey]time.Time), terms: make(map[quota.Key]bool),
+		refusals: make(map[string]*refusalLog),
+	}
+	for i := range lockShards {
+		d.wallets[i].wallets = make(map[string]*quota.Wallet)
+		d.ledgers[i].ledgers = make(map[ledgerKey]*account)
+	}
+	d.background.Go(func() { every.Interval(ctx, sweepInterval, d.sweep) })
+	return d
+}
+
+// Register makes the server s grant tokens to other VMs.
+func (d *Desk) Register(s *link.Server) {
+	s.Handle(link.Tokens, func(_ context.Context, _ *link.Inbound, c link.Call) (any, error) {
+		var q call
+		if err := c.Decode(&q); err != nil {
+			return nil, err
+		}
+		return d.grant(q), nil
+	})
+}
+
+// Wait waits until the desk has ended. Call it when the context passed to New has ended.
+func (d *Desk) Wait() { d.background.Wait() }
+
+// Limited reports whether the configuration in force limits a workspace.
+func (d *Desk) Limited() bool { return d.config().Limited() }
+
+// SetMembers sets the live VMs as of asOf.
+func (d *Desk) SetMembers(live []lead.Member, asOf time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !sameMembers(d.live, live) {
+		d.setCandidates(live)
+	}
+	var named []quota.Key
+	for k, c := range d.candidates {
+		if len(c) > 0 && c[0].Name() == d.self.Name() {
+			named = append(named, k)
+		}
+	}
+	d.holder.SetNamed(named, asOf, d.clock())
+}
+
+// sameMembers reports whether the identities are those of the members.
+func sameMembers(identities []string, members []lead.Member) bool {
+	if len(identities) != len(members) {
+		return false
+	}
+	for i, m := range members {
+		if identities[i] != identity(m) {
+			return false
+		}
+	}
+	return true
+}
+
+func identity(m lead.Member) string { return m.Name() + " " + m.Address() }
+
+// setCandidates determines the candidates for all keys. The caller holds mu.
+func (d *Desk) setCandidates(live []lead.Member) {
+	d.live = d.live[:0]
+	for _, m := range live {
+		d.live = append(d.live, identity(m))
+	}
+	slots := make(map[int][]quota.Key)
+	for _, k := range quota.Keys() {
+		d.candidates[k] = quota.Candidates(live, k)
+		slots[k.Shard()] = append(slots[k.Shard()], k)
+	}
+	for shard, keys := range slots {
+		d.order[shard] = d.askOrder(keys)
+	}
+}
+
+// askOrder returns the order in which this VM asks the slots of a shard: those held in its data centre first, and the others in an order
+// of its own, so that all slots get their share of the demand.
+func (d *Desk) askOrder(keys []quota.Key) []int {
+	names := make([]string, 0, len(keys))
+	slots := make(map[string]int, len(keys))
+	near := make(map[string]bool, len(keys))
+	for _, k := range keys {
+		names, slots[k.String()] = append(names, k.String()), k.Slot()
+		c := d.candidates[k]
+		near[k.String()] = len(c) > 0 && c[0].DataCentre() == d.self.DataCentre()
+	}
+	var order, far []int
+	for _, name := range owner.Order(d.self.Name(), names) {
+		if near[name] {
+			order = append(order, slots[name])
+		} else {
+			far = append(far, slots[name])
+		}
+	}
+	return append(order, far...)
+}
+
+// Admit implements entry.Quota.
+func (d *Desk) Admit(w layout.Workspace, now, deadline time.Time) error {
+	if deadline = minTime(deadline, now.Add(admitTimeout)); !now.Before(deadline) {
+		return result.New(result.DeadlineTooClose, "no time is left to count the operation")
+	}
+	limit := quota.NewLimit(w.Rate(), w.Burst(), d.config().Version())
+	ws := &d.wallets[lockShard(w.Name())]
+	if ws.take(w.Name(), now, true) {
+		return nil
+	}
+	asked := uint(0)
+	silent := false
+	for now.Before(deadline) {
+		slot, address, ok := d.nextSlot(ws, w.Name(), limit, asked, now)
+		if !ok {
+			break
+		}
+		asked |= 1 << uint(slot)
+		o := d.ask(address, w.Name(), slot, limit)
+		now = d.clock()
+		switch o.kind {
+		case granted:
+			if now.Before(o.end) {
+				return nil // A token that has ended meanwhile may not be used: its holder has granted another one in its place.
+			}
+		case noReply:
+			silent = true
+			asked &^= 1 << uint(slot) // The next candidate for the slot may hold it.
+		case notHolding:
+			asked &^= 1 << uint(slot)
+		case refused:
+		}
+		if ws.take(w.Name(), now, false) {
+			return nil
+		}
+	}
+	why := reasonLimit
+	if silent || asked == 0 && !d.blocked(ws, w.Name(), limit, now) {
+		why = reasonSilent
+	}
+	return d.refuse(w.Name(), limit, why)
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func (d *Desk) refuse(workspace string, limit quota.Limit, why reason) error {
+	d.refused[why].Inc(1)
+	d.mu.Lock()
+	r := d.refusals[workspace]
+	switch {
+	case r == nil && len(d.refusals) < maxRefusalLogs:
+		r = &refusalLog{}
+		d.refusals[workspace] = r
+		fallthrough
+	case r != nil:
+		r.add(limit, why)
+	default:
+		d.dropped++
+	}
+	d.mu.Unlock()
+	if why == reasonSilent {
+		return result.New(result.OverQuota, "no VM grants operations of workspace %s", workspace)
+	}
+	return result.New(result.OverQuota, "workspace %s has reached its limit of %g operations per second and %g at once", workspace,
+		limit.Rate(), limit.Burst())
+}
+
+// nextSlot returns the slot to ask next and the address of the VM to ask. It returns false if no slot may have tokens.
+func (d *Desk) nextSlot(ws *walletShard, workspace string, limit quota.Limit, asked uint, now time.Time) (int, string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := limit.Slots()
+	shard := quota.ShardOf(workspace)
+	if d.self.Address() == "" {
+		if asked == 0 {
+			return 0, "", true
+		}
+		return 0, "", false
+	}
+	for _, slot := range d.order[shard] {
+		if slot >= n || asked&(1<<uint(slot)) != 0 || !ws.mayAsk(workspace, slot, now) {
+			continue
+		}
+		key := quota.KeyOf(workspace, slot)
+		for _, c := range d.candidates[key] {
+			if now.Before(d.failed[c.Address()]) || now.Before(d.notHolder[skipKey{key, c.Address()}]) {
+				continue
+			}
+			return slot, c.Address(), true
+		}
+	}
+	return 0, "", false
+}
+
+// blocked reports whether a slot of the workspace has refused tokens and is not to be asked yet.
+func (d *Desk) blocked(ws *walletShard, workspace string, limit quota.Limit, now time.Time) bool {
+	for slot := range limit.Slots() {
+		if !ws.mayAsk(workspace, slot, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// markFailed records that the VM at address did not reply.
+func (d *Desk) markFailed(address string, err error) {
+	now := d.clock()
+	d.mu.Lock()
+	known := now.Before(d.failed[address])
+	d.failed[address] = now.Add(failureDelay)
+	d.mu.Unlock()
+	if !known {
+		d.log.Event(event.HolderFailed, zap.String("address", address), zap.Error(err))
+	}
+}
+
+func (d *Desk) markNotHolder(key quota.Key, address string) {
+	now := d.clock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.notHolder[skipKey{key, address}] = now.Add(notHolderDelay)
+}
+
+func lockShard(workspace string) int {
+	h := uint32(2166136261)
+	for i := range len(workspace) {
+		h = (h ^ uint32(workspace[i])) * 16777619
+	}
+	return int(h % lockShards)
+}
+
+// wallet returns the wallet of a workspace. The caller holds mu.
+func (ws *walletShard) wallet(workspace string) *quota.Wallet {
+	w := ws.wallets[workspace]
+	if w == nil {
+		w = &quota.Wallet{}
+		ws.wallets[workspace] = w
+	}
+	return w
+}
+
+// take takes a spare token. With arrived, it counts an operation as asked for.
+func (ws *walletShard) take(workspace string, now time.Time, arrived bool) bool {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	w := ws.wallet(workspace)
+	if arrived {
+		w.Arrived(now)
+	}
+	return w.Take(now)
+}
+
+func (ws *walletShard) mayAsk(workspace string, slot int, now time.Time) bool {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	return ws.wallet(workspace).MayAsk(slot, now)
+}
--- /dev/null
+++ b/io/grant/hold.go
@@ -0,0 +1,233 @@
+package grant
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenagate/core/event"
+	"verbenagate/core/quota"
+	"verbenagate/io/metric"
+)
+
+// Names of the metrics of quotas.
+const (
+	Refused = "quota_refused_total"
+	Calls   = "quota_calls_total"
+)
+
+// Catalog registers the metrics of quotas in r, and returns r.
+func Catalog(r *metric.Registry) *metric.Registry {
+	return r.Counter(Refused, "operations", "Operations refused for the quota of their workspace, by reason.", "reason").
+		Counter(Calls, "calls", "Calls to other VMs for tokens of workspaces.")
+}
+
+const (
+	// maxRefusalLogs is how many workspaces have a line of their own in the log of refusals of one sweepInterval.
+	maxRefusalLogs = 8
+	// maxDumpedLedgers bounds the ledgers in a state dump.
+	maxDumpedLedgers = 200
+)
+
+// refusalLog sums up the refusals of a workspace since the last sweep.
+type refusalLog struct {
+	limit    quota.Limit
+	overdue  int // over the limit
+	unserved int // no holder answered
+}
+
+func (r *refusalLog) add(limit quota.Limit, why reason) {
+	r.limit = limit
+	if why == reasonSilent {
+		r.unserved++
+	} else {
+		r.overdue++
+	}
+}
+
+// grant grants tokens for the slots that this VM holds.
+func (d *Desk) grant(q call) reply {
+	r := reply{Answers: make([]answer, 0, len(q.Asks))}
+	config := d.config()
+	for _, a := range q.Asks {
+		limit := quota.NewLimit(a.Rate, a.Burst, a.Version)
+		if w, ok := config.Workspace(a.Workspace); ok && w.Limited() && config.Version() >= a.Version {
+			limit = quota.NewLimit(w.Rate(), w.Burst(), config.Version())
+		}
+		r.Answers = append(r.Answers, d.grantOne(a, limit, q.VM))
+	}
+	return r
+}
+
+// grantOne grants tokens for one slot of a workspace to a VM.
+func (d *Desk) grantOne(a ask, limit quota.Limit, vm string) answer {
+	s := &d.ledgers[lockShard(a.Workspace)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := d.clock()
+	term, ok := d.term(quota.KeyOf(a.Workspace, a.Slot), now)
+	if !ok {
+		return answer{NotHolder: true}
+	}
+	if d.self.Address() != "" {
+		limit = limit.Slot(a.Slot)
+	}
+	key := ledgerKey{a.Workspace, a.Slot}
+	acc := s.ledgers[key]
+	if acc == nil || !acc.term.Equal(term) {
+		acc = &account{ledger: quota.NewLedger(limit, term), term: term}
+		s.ledgers[key] = acc
+	}
+	acc.ledger.SetLimit(limit, now)
+	g := acc.ledger.Grant(now, min(a.Need, maxTokens), min(a.Spare, maxTokens))
+	if n := g.Tokens + g.Spare; n > 0 {
+		acc.granted += int64(n)
+		acc.lastVM, acc.lastAt = vm, now
+	}
+	return newAnswer(g)
+}
+
+// term returns since when this VM holds a key. A VM without an address is the only one.
+func (d *Desk) term(k quota.Key, now time.Time) (time.Time, bool) {
+	if d.self.Address() == "" {
+		return d.started, true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.holder.SetLease(d.lease())
+	return d.holder.Term(k, now)
+}
+
+// Holds reports whether this VM may hold slots now. It then needs a fresh list of live VMs.
+func (d *Desk) Holds() bool {
+	if !d.Limited() {
+		return false
+	}
+	now := d.clock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.holder.Named(now)) > 0
+}
+
+// sweep logs what has changed since the last sweep, and drops what is not used any more.
+func (d *Desk) sweep() {
+	now := d.clock()
+	d.logTerms(now)
+	d.logRefusals()
+	for i := range lockShards {
+		ws := &d.wallets[i]
+		ws.mu.Lock()
+		for name, w := range ws.wallets {
+			if w.Idle(now) {
+				delete(ws.wallets, name)
+			}
+		}
+		ws.mu.Unlock()
+		s := &d.ledgers[i]
+		s.mu.Lock()
+		for key, acc := range s.ledgers {
+			if acc.ledger.Idle(now) {
+				delete(s.ledgers, key)
+			}
+		}
+		s.mu.Unlock()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address, until := range d.failed {
+		if now.After(until) {
+			delete(d.failed, address)
+		}
+	}
+	for key, until := range d.notHolder {
+		if now.After(until) {
+			delete(d.notHolder, key)
+		}
+	}
+}
+
+// logTerms logs the keys that this VM has begun or ceased to hold.
+func (d *Desk) logTerms(now time.Time) {
+	var began, ended []string
+	for _, k := range quota.Keys() {
+		_, holds := d.term(k, now)
+		if holds == d.terms[k] {
+			continue
+		}
+		d.terms[k] = holds
+		if holds {
+			began = append(began, k.String())
+		} else {
+			ended = append(ended, k.String())
+		}
+	}
+	if len(began)+len(ended) > 0 && d.self.Address() != "" && d.Limited() {
+		d.log.Event(event.HolderChanged, zap.Strings("began", began), zap.Strings("ended", ended))
+	}
+}
+
+func (d *Desk) logRefusals() {
+	d.mu.Lock()
+	refusals, dropped := d.refusals, d.dropped
+	d.refusals, d.dropped = make(map[string]*refusalLog), 0
+	d.mu.Unlock()
+	for workspace, r := range refusals {
+		d.log.Event(event.QuotaRefused, zap.String("workspace", workspace), zap.Float64("rate", r.limit.Rate()),
+			zap.Float64("burst", r.limit.Burst()), zap.Uint64("config", r.limit.Version()), zap.Int("over_limit", r.overdue),
+			zap.Int("no_holder", r.unserved))
+	}
+	if dropped > 0 {
+		d.log.Event(event.QuotaRefused, zap.Int("others", dropped))
+	}
+}
+
+// LedgerState describes a slot that this VM holds in a state dump.
+type LedgerState struct {
+	Workspace string        `json:"workspace"`
+	Slot      int           `json:"slot"`
+	Rate      float64       `json:"rate"`
+	Burst     float64       `json:"burst"`
+	Config    uint64        `json:"config"`
+	Used      float64       `json:"used"`    // tokens that were used and are not refilled yet
+	Usable    float64       `json:"usable"`  // tokens that were granted and may still be used
+	Granted   int64         `json:"granted"` // since this VM has held the slot, or since the slot was last idle
+	LastVM    string        `json:"last_vm"` // that got tokens last
+	LastAge   time.Duration `json:"last_age"`
+}
+
+// State describes the quotas in a state dump.
+type State struct {
+	Holds   []string      `json:"holds"` // shard and slot
+	Ledgers []LedgerState `json:"ledgers"`
+}
+
+// State returns the current state.
+func (d *Desk) State() State {
+	now := d.clock()
+	var s State
+	for _, k := range quota.Keys() {
+		if _, ok := d.term(k, now); ok {
+			s.Holds = append(s.Holds, k.String())
+		}
+	}
+	for i := range lockShards {
+		shard := &d.ledgers[i]
+		shard.mu.Lock()
+		for key, acc := range shard.ledgers {
+			_ = acc.ledger.Idle(now) // brings it up to date
+			l := acc.ledger.Limit()
+			s.Ledgers = append(s.Ledgers, LedgerState{
+				Workspace: key.workspace, Slot: key.slot, Rate: l.Rate(), Burst: l.Burst(), Config: l.Version(), Used: acc.ledger.Used(),
+				Usable: acc.ledger.Usable(), Granted: acc.granted, LastVM: acc.lastVM, LastAge: now.Sub(acc.lastAt),
+			})
+		}
+		shard.mu.Unlock()
+	}
+	slices.SortFunc(s.Ledgers, func(a, b LedgerState) int {
+		return cmp.Or(cmp.Compare(b.Used+b.Usable, a.Used+a.Usable), cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Slot, b.Slot))
+	})
+	s.Ledgers = s.Ledgers[:min(len(s.Ledgers), maxDumpedLedgers)]
+	return s
+}
--- /dev/null
+++ b/io/grant/line.go
@@ -0,0 +1,158 @@
+package grant
+
+import (
+	"context"
+	"time"
+
+	"verbenagate/core/quota"
+	"verbenagate/core/result"
+	"verbenagate/io/link"
+)
+
+// outcome is what became of an operation's request for a token.
+type outcome struct {
+	kind outcomeKind
+	end  time.Time // of the token
+}
+
+type outcomeKind uint8
+
+const (
+	granted outcomeKind = iota
+	refused
+	notHolding
+	noReply
+)
+
+// waiter is an operation that waits for a token.
+type waiter struct {
+	workspace string
+	slot      int
+	limit     quota.Limit
+	done      chan outcome
+}
+
+// line collects the requests to one VM.
+type line struct {
+	pending   []*waiter
+	scheduled bool
+	lastCall  time.Time
+}
+
+// ask asks the VM at address for a token and waits for the outcome. If the address is empty, it is this VM without other VMs.
+func (d *Desk) ask(address, workspace string, slot int, limit quota.Limit) outcome {
+	w := &waiter{workspace: workspace, slot: slot, limit: limit, done: make(chan outcome, 1)}
+	now := d.clock()
+	d.mu.Lock()
+	l := d.lines[address]
+	if l == nil {
+		l = &line{}
+		d.lines[address] = l
+	}
+	l.pending = append(l.pending, w)
+	scheduled := l.scheduled
+	l.scheduled = true
+	delay := batchDelay - now.Sub(l.lastCall)
+	d.mu.Unlock()
+	if !scheduled {
+		if address == d.self.Address() {
+			delay = 0
+		}
+		if delay > 0 {
+			time.AfterFunc(delay, func() { d.flush(address, l) })
+		} else {
+			d.flush(address, l)
+		}
+	}
+	return <-w.done
+}
+
+// flush sends the pending requests to the VM at address and passes on the outcomes.
+func (d *Desk) flush(address string, l *line) {
+	sent := d.clock()
+	d.mu.Lock()
+	pending := l.pending
+	l.pending, l.scheduled, l.lastCall = nil, false, sent
+	d.mu.Unlock()
+	q, groups := d.newCall(pending, sent)
+	if address == d.self.Address() {
+		d.settle(address, groups, d.grant(q), sent)
+		return
+	}
+	d.asked.Inc(1)
+	var r reply
+	ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
+	defer cancel()
+	_, err := d.clients.Call(ctx, address, link.Tokens, q, &r, link.Options{Timeout: callTimeout, Ping: link.SlowPing})
+	if err == nil && len(r.Answers) != len(groups) {
+		err = result.New(result.AnswerLost, "the VM answered %d of %d requests for tokens", len(r.Answers), len(groups))
+	}
+	if err != nil {
+		d.markFailed(address, err)
+		for _, w := range pending {
+			w.done <- outcome{kind: noReply}
+		}
+		return
+	}
+	d.settle(address, groups, r, sent)
+}
+
+// newCall returns the call for the pending requests, and the requests by ask.
+func (d *Desk) newCall(pending []*waiter, now time.Time) (call, [][]*waiter) {
+	q := call{VM: d.self.Name()}
+	var groups [][]*waiter
+	index := make(map[ledgerKey]int, len(pending))
+	for _, w := range pending {
+		key := ledgerKey{w.workspace, w.slot}
+		i, ok := index[key]
+		if !ok {
+			i = len(groups)
+			index[key] = i
+			groups = append(groups, nil)
+			q.Asks = append(q.Asks, ask{Workspace: w.workspace, Slot: w.slot})
+		}
+		a := &q.Asks[i]
+		a.Need++
+		if v := w.limit.Version(); v >= a.Version {
+			a.Version, a.Rate, a.Burst = v, w.limit.Rate(), w.limit.Burst()
+		}
+		groups[i] = append(groups[i], w)
+	}
+	for i := range q.Asks {
+		ws := &d.wallets[lockShard(q.Asks[i].Workspace)]
+		ws.mu.Lock()
+		q.Asks[i].Spare = ws.wallet(q.Asks[i].Workspace).Spare(now)
+		ws.mu.Unlock()
+	}
+	return q, groups
+}
+
+// settle passes the answers to a call that was sent at sent on to the operations that wait.
+func (d *Desk) settle(address string, groups [][]*waiter, r reply, sent time.Time) {
+	now := d.clock()
+	for i, group := range groups {
+		a, first := r.Answers[i], group[0]
+		if a.NotHolder {
+			d.markNotHolder(quota.KeyOf(first.workspace, first.slot), address)
+			finish(group, outcome{kind: notHolding})
+			continue
+		}
+		n := min(max(a.Tokens, 0), len(group))
+		ws := &d.wallets[lockShard(first.workspace)]
+		ws.mu.Lock()
+		w := ws.wallet(first.workspace)
+		w.Add(min(a.Spare, maxTokens), sent.Add(a.SpareLife))
+		if a.Retry > 0 {
+			w.Refused(first.slot, now.Add(a.Retry))
+		}
+		ws.mu.Unlock()
+		finish(group[:n], outcome{kind: granted, end: sent.Add(a.Life)})
+		finish(group[n:], outcome{kind: refused})
+	}
+}
+
+func finish(group []*waiter, o outcome) {
+	for _, w := range group {
+		w.done <- o
+	}
+}
--- /dev/null
+++ b/io/grant/message.go
@@ -0,0 +1,44 @@
+package grant
+
+import (
+	"time"
+
+	"verbenagate/core/quota"
+)
+
+// call asks the holder of slots for tokens.
+type call struct {
+	VM   string `cbor:"1,keyasint"` // the caller
+	Asks []ask  `cbor:"2,keyasint"`
+}
+
+// ask is the need of tokens of a slot of a workspace, with its limit in the caller's configuration of this version. A holder whose
+// configuration is older goes by it.
+type ask struct {
+	Workspace string  `cbor:"1,keyasint"`
+	Slot      int     `cbor:"2,keyasint,omitempty"`
+	Need      int     `cbor:"3,keyasint"`
+	Spare     int     `cbor:"4,keyasint,omitempty"`
+	Rate      float64 `cbor:"5,keyasint"`
+	Burst     float64 `cbor:"6,keyasint"`
+	Version   uint64  `cbor:"7,keyasint"`
+}
+
+// reply has an answer for each ask, in their order.
+type reply struct {
+	Answers []answer `cbor:"1,keyasint"`
+}
+
+// answer is the encoded form of a quota.Grant. NotHolder says that the VM does not hold the slot.
+type answer struct {
+	Tokens    int           `cbor:"1,keyasint,omitempty"`
+	Life      time.Duration `cbor:"2,keyasint,omitempty"`
+	Spare     int           `cbor:"3,keyasint,omitempty"`
+	SpareLife time.Duration `cbor:"4,keyasint,omitempty"`
+	Retry     time.Duration `cbor:"5,keyasint,omitempty"`
+	NotHolder bool          `cbor:"6,keyasint,omitempty"`
+}
+
+func newAnswer(g quota.Grant) answer {
+	return answer{Tokens: g.Tokens, Life: g.Life, Spare: g.Spare, SpareLife: g.SpareLife, Retry: g.Retry}
+}
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -19,6 +19,8 @@
 	Run
 	Release
 	Position
+	// Tokens for the operations of limited workspaces; see io/grant.
+	Tokens
 )
 
 // request is a call from one VM to another.
