core/quota, io/grant: wait shortly for a refill, and keep tokens usable only as long as replies take

Change: their life follows the reply times of the holder, and an operation waits up to 150 ms for a refill that the holder foretold. The decisions moved from io/grant to core/quota, where TestFailures, TestOneHolder and others play them on a clock of their own.

--- /dev/null
+++ b/core/quota/asker.go
@@ -0,0 +1,140 @@
+package quota
+
+import (
+	"time"
+
+	"verbenagate/core/lead"
+	"verbenagate/core/owner"
+)
+
+const (
+	// failureDelay is how long a VM that did not reply is not asked, and notHolderDelay the same for a key that a VM does not hold.
+	failureDelay   = time.Second
+	notHolderDelay = 300 * time.Millisecond
+)
+
+// Asker decides which VM is asked for tokens. It is not safe for concurrent use.
+type Asker struct {
+	self       lead.Member
+	live       []string
+	candidates map[Key][]lead.Member
+	order      map[int][]int // by shard: the order in which this VM asks the slots
+	failed     map[string]time.Time
+	notHolder  map[candidate]time.Time
+}
+
+type candidate struct {
+	key     Key
+	address string
+}
+
+// NewAsker returns the asker of the VM self.
+func NewAsker(self lead.Member) *Asker {
+	return &Asker{
+		self: self, candidates: make(map[Key][]lead.Member), order: make(map[int][]int), failed: make(map[string]time.Time),
+		notHolder: make(map[candidate]time.Time),
+	}
+}
+
+// SetMembers sets the live VMs. It returns the keys of which this VM is the first candidate.
+func (a *Asker) SetMembers(live []lead.Member) []Key {
+	if !a.sameMembers(live) {
+		a.live = a.live[:0]
+		for _, m := range live {
+			a.live = append(a.live, identity(m))
+		}
+		byShard := make(map[int][]Key)
+		for _, k := range Keys() {
+			a.candidates[k] = Candidates(live, k)
+			byShard[k.shard] = append(byShard[k.shard], k)
+		}
+		for shard, keys := range byShard {
+			a.order[shard] = a.askOrder(keys)
+		}
+	}
+	var named []Key
+	for k, c := range a.candidates {
+		if len(c) > 0 && c[0].Name() == a.self.Name() {
+			named = append(named, k)
+		}
+	}
+	return named
+}
+
+func (a *Asker) sameMembers(live []lead.Member) bool {
+	if len(a.live) != len(live) {
+		return false
+	}
+	for i, m := range live {
+		if a.live[i] != identity(m) {
+			return false
+		}
+	}
+	return true
+}
+
+func identity(m lead.Member) string { return m.Name() + " " + m.Address() }
+
+// askOrder returns the order in which this VM asks the slots of a shard: those held in its data centre first, and the others in an order
+// of its own, so that all slots get their share of the demand.
+func (a *Asker) askOrder(keys []Key) []int {
+	names := make([]string, 0, len(keys))
+	byName := make(map[string]Key, len(keys))
+	for _, k := range keys {
+		names = append(names, k.String())
+		byName[k.String()] = k
+	}
+	var near, far []int
+	for _, name := range owner.Order(a.self.Name(), names) {
+		k := byName[name]
+		if c := a.candidates[k]; len(c) > 0 && c[0].DataCentre() == a.self.DataCentre() {
+			near = append(near, k.slot)
+		} else {
+			far = append(far, k.slot)
+		}
+	}
+	return append(near, far...)
+}
+
+// Next returns the slot of the workspace to ask next at now, and the address of the VM to ask. Asked has a bit for each slot that was
+// asked already, and w knows which slots have no tokens. It returns false if no slot is left.
+func (a *Asker) Next(workspace string, limit Limit, w *Wallet, asked uint, now time.Time) (slot int, address string, ok bool) {
+	for _, slot := range a.order[ShardOf(workspace)] {
+		if slot >= limit.Slots() || asked&(1<<uint(slot)) != 0 || !w.MayAsk(slot, now) {
+			continue
+		}
+		key := KeyOf(workspace, slot)
+		for _, c := range a.candidates[key] {
+			if !now.Before(a.failed[c.Address()]) && !now.Before(a.notHolder[candidate{key, c.Address()}]) {
+				return slot, c.Address(), true
+			}
+		}
+	}
+	return 0, "", false
+}
+
+// Failed records that the VM at address did not reply. It returns false if that is known.
+func (a *Asker) Failed(address string, now time.Time) bool {
+	known := now.Before(a.failed[address])
+	a.failed[address] = now.Add(failureDelay)
+	return !known
+}
+
+// NotHolder records that the VM at address does not hold the key of a slot.
+func (a *Asker) NotHolder(workspace string, slot int, address string, now time.Time) {
+	a.notHolder[candidate{KeyOf(workspace, slot), address}] = now.Add(notHolderDelay)
+}
+
+// Sweep drops what does not matter any more.
+func (a *Asker) Sweep(now time.Time) {
+	for address, until := range a.failed {
+		if !now.Before(until) {
+			delete(a.failed, address)
+		}
+	}
+	for c, until := range a.notHolder {
+		if !now.Before(until) {
+			delete(a.notHolder, c)
+		}
+	}
+}
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// maxTokenLife is how long a token for an operation that waits may be used, minTokenLife the same for limits whose burst is small
-	// compared to the rate: tokens that may still be used are not refilled.
+	// minTokenLife and maxTokenLife bound how long a token for an operation that waits may be used. Tokens that may still be used are not
+	// refilled, so it is little longer than a reply takes.
+	minTokenLife = 15 * time.Millisecond
 	maxTokenLife = 150 * time.Millisecond
-	minTokenLife = 40 * time.Millisecond
 	// spareLife is how long a token for an expected operation may be used.
 	spareLife = 500 * time.Millisecond
 	// holdMargin is how much longer the holder counts a token than the VM that got it may use it: the clocks of two VMs may run at
@@ -87,7 +87,7 @@
 type Grant struct {
 	// Tokens for operations that wait may be used for Life, counted from when the VM asked.
 	Tokens int
-	Life   time.Duration
+	Life   time.Duration // what the VM asked for, within bounds
 	// Spare tokens may be used for SpareLife, counted in the same way.
 	Spare     int
 	SpareLife time.Duration
@@ -95,20 +95,20 @@
 	Retry time.Duration
 }
 
-// Grant grants up to need tokens for operations that wait, and up to spare for expected ones as long as more than half of the burst is
-// left.
-func (l *Ledger) Grant(now time.Time, need, spare int) Grant {
+// Grant grants up to need tokens, which may be used for life, for operations that wait, and up to spare for expected ones as long as
+// more than half of the burst is left.
+func (l *Ledger) Grant(now time.Time, need, spare int, life time.Duration) Grant {
 	l.advance(now)
 	free := max(math.Floor(l.limit.burst-l.used-l.usable+tolerance), 0)
 	n := min(float64(max(need, 0)), free)
-	g := Grant{Tokens: int(n), Life: l.tokenLife()}
+	g := Grant{Tokens: int(n), Life: min(max(life, minTokenLife), maxTokenLife)}
 	l.hold(n, now.Add(g.Life+holdMargin))
 	if extra := min(float64(spare), math.Floor(free-n-l.limit.burst/2)); extra > 0 {
 		g.Spare, g.SpareLife = int(extra), spareLife
 		l.hold(extra, now.Add(MaxHold))
 	}
 	if missing := need - g.Tokens; missing > 0 {
-		g.Retry = l.retryDelay(now)
+		g.Retry = l.retryDelay()
 		l.waiting += float64(missing)
 	}
 	return g
@@ -123,41 +123,40 @@
 	l.usable += n
 }
 
-// tokenLife returns the life of a token for an operation that waits: as many tokens as the rate brings meanwhile are unusable for
-// others, which must be a small part of the burst.
-func (l *Ledger) tokenLife() time.Duration {
-	if l.limit.rate <= 0 {
-		return minTokenLife
-	}
-	return min(max(seconds(l.limit.burst/l.limit.rate/4), minTokenLife), maxTokenLife)
-}
-
 // retryDelay returns when a VM that was refused a token may ask again: when the refill has reached it, if the VMs that were refused
 // earlier are served before it. It is short enough that the bucket does not fill up meanwhile.
-func (l *Ledger) retryDelay(now time.Time) time.Duration {
+func (l *Ledger) retryDelay() time.Duration {
 	if l.limit.rate <= 0 {
 		return maxRetryDelay
 	}
 	longest := min(max(seconds(l.limit.burst/l.limit.rate/4), minTokenLife), maxRetryDelay)
-	d := seconds((max(1+l.used+l.usable-l.limit.burst, 0) + l.waiting) / l.limit.rate)
-	if l.used < 1 && len(l.holds) > 0 {
-		d = max(d, l.holds[0].end.Sub(now))
+	return min(max(l.untilFree(1+l.waiting), time.Millisecond), longest)
+}
+
+// untilFree returns how long it takes until n tokens are free, if none is granted meanwhile.
+func (l *Ledger) untilFree(n float64) time.Duration {
+	need, used, at := n+l.used+l.usable-l.limit.burst, l.used, l.at
+	for _, h := range l.holds {
+		if need <= 0 {
+			break
+		}
+		drained := min(used, max(h.end.Sub(at).Seconds(), 0)*l.limit.rate)
+		if need <= drained {
+			break
+		}
+		need -= drained
+		used += h.n - drained
+		at = h.end
 	}
-	return min(max(d, time.Millisecond), longest)
+	return max(at.Sub(l.at)+seconds(max(need, 0)/l.limit.rate), 0)
 }
 
-// Idle reports whether the ledger holds nothing that a new one for the same holder would not assume.
-func (l *Ledger) Idle(now time.Time) bool {
+// idle reports whether the ledger counts nothing. A new one for the same holder comes to the same state unless it is more careful.
+func (l *Ledger) idle(now time.Time) bool {
 	l.advance(now)
 	return l.used == 0 && l.usable == 0
 }
 
-// Usable returns how many granted tokens may still be used, and Used how many count against the burst as used.
-func (l *Ledger) Usable() float64 { return l.usable }
-
-// Used returns how many used tokens still count against the burst.
-func (l *Ledger) Used() float64 { return l.used }
-
 func seconds(s float64) time.Duration {
 	return time.Duration(min(s, 1e6) * float64(time.Second))
 }
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,409 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"verbenagate/core/lead"
+)
+
+// warmUp is how long VMs that start together take until they hold their keys and have refilled the bursts.
+const warmUp = 12 * time.Second
+
+// Guards against parts of a limit that add up to more or less than the limit.
+func TestSlotsAddUp(t *testing.T) {
+	g := NewWithT(t)
+	for _, l := range []Limit{NewLimit(164, 164, 1), NewLimit(5, 5, 1), NewLimit(1, 0.5, 1), NewLimit(7.5, 9.5, 1), NewLimit(3, 3, 1)} {
+		rate, burst := 0.0, 0.0
+		for i := range maxSlots {
+			rate += l.Slot(i).Rate()
+			burst += l.Slot(i).Burst()
+			if i < l.Slots() {
+				g.Expect(l.Slot(i).Burst()).To(BeNumerically(">=", min(l.Burst(), minSlotBurst)))
+			}
+		}
+		g.Expect(rate).To(BeNumerically("~", l.Rate(), 1e-9))
+		g.Expect(burst).To(BeNumerically("~", l.Burst(), 1e-9))
+	}
+}
+
+// Guards against a ledger that admits more than its limit in some window, whenever its tokens are used before their ends, also after its
+// limit was lowered and raised.
+func TestLedgerKeepsLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := NewLimit(rapid.Float64Range(0.5, 200).Draw(t, "rate"), rapid.Float64Range(1, 200).Draw(t, "burst"), 1)
+		now := time.Unix(1000, 0)
+		start := now
+		l := NewLedger(limit, now)
+		type use struct {
+			at time.Time
+			n  float64
+		}
+		uses := []use{{now.Add(MaxHold), limit.burst}} // the previous holder's, at the last moment
+		for range rapid.IntRange(1, 60).Draw(t, "asks") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			g := l.Grant(now, rapid.IntRange(0, 60).Draw(t, "need"), rapid.IntRange(0, 20).Draw(t, "spare"),
+				time.Duration(rapid.IntRange(0, 200).Draw(t, "life"))*time.Millisecond)
+			if n := g.Tokens; n > 0 {
+				uses = append(uses, use{now.Add(time.Duration(rapid.Float64Range(0, 1).Draw(t, "part") * float64(g.Life))), float64(n)})
+			}
+			if n := g.Spare; n > 0 {
+				uses = append(uses, use{now.Add(time.Duration(rapid.Float64Range(0, 1).Draw(t, "part") * float64(g.SpareLife))), float64(n)})
+			}
+		}
+		for _, a := range uses {
+			for _, b := range uses {
+				if b.at.Before(a.at) {
+					continue
+				}
+				n := 0.0
+				for _, u := range uses {
+					if !u.at.Before(a.at) && !u.at.After(b.at) {
+						n += u.n
+					}
+				}
+				if allowed := limit.rate*b.at.Sub(a.at).Seconds() + limit.burst; n > allowed+1e-6 {
+					t.Fatalf("%g uses from %s to %s, %g allowed", n, a.at.Sub(start), b.at.Sub(start), allowed)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a lowered limit that does not bind at once, a raised one that does not help at once, and an older configuration that
+// replaces a newer one.
+func TestChangedLimit(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	l := NewLedger(NewLimit(10, 10, 1), now.Add(-time.Minute))
+	l.SetLimit(NewLimit(2, 2, 2), now)
+	g.Expect(l.Grant(now, 10, 0, time.Second).Tokens).To(Equal(2))
+	l.SetLimit(NewLimit(10, 10, 1), now)
+	g.Expect(l.Grant(now, 10, 0, time.Second).Tokens).To(Equal(0), "an older configuration")
+	l.SetLimit(NewLimit(20, 20, 3), now)
+	g.Expect(l.Grant(now, 30, 0, time.Second).Tokens).To(Equal(18))
+}
+
+// Guards against a token that is used at or after its end.
+func TestWalletTokensEnd(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var w Wallet
+	w.Add(2, now.Add(time.Second))
+	g.Expect(w.Take(now)).To(BeTrue())
+	g.Expect(w.Take(now.Add(time.Second))).To(BeFalse())
+	g.Expect(w.Take(now)).To(BeFalse(), "dropped")
+}
+
+// Guards against two VMs whose lists differ and that both hold a key, for any history of leases and lists.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 6).Draw(t, "vms"), 2)
+		for range 40 {
+			v := s.vms[s.rng.IntN(len(s.vms))]
+			switch s.rng.IntN(6) {
+			case 0:
+				s.stop(v)
+			case 1, 2:
+				if !v.running {
+					s.start(v)
+				}
+			case 3:
+				v.cut = !v.cut
+			case 4:
+				v.frozenUntil = s.now.Add(time.Duration(s.rng.IntN(9000)) * time.Millisecond)
+			case 5: // a planned stop gives up the lease
+				if v.running && !v.cut {
+					s.stop(v)
+					delete(s.leases, v.member.Name())
+				}
+			}
+			end := s.now.Add(time.Duration(s.rng.IntN(5000)) * time.Millisecond)
+			for s.now.Before(end) {
+				s.runUntil(s.now.Add(50 * time.Millisecond))
+				for _, k := range Keys()[:4] {
+					holders := 0
+					for _, v := range s.vms {
+						v.holder.SetLease(v.leaseSince, v.leaseUntil)
+						if _, ok := v.holder.Term(k, s.now); ok && v.running && !s.now.Before(v.frozenUntil) {
+							holders++
+						}
+					}
+					if holders > 1 {
+						t.Fatalf("%d VMs hold %s at %s", holders, k, s.now)
+					}
+				}
+			}
+		}
+	})
+}
+
+// checkLimits fails the test if a workspace began more operations in some window than its limit.
+func checkLimits(t *testing.T, s *sim) {
+	t.Helper()
+	for _, w := range s.workspaces {
+		if w.worst > w.limit.burst+1e-6 {
+			t.Errorf("%s, limit %g/s and %g: %g operations above the rate in a window", w.name, w.limit.rate, w.limit.burst, w.worst)
+		}
+	}
+}
+
+// ratio returns the operations that were admitted between from and to, as a part of what the central bucket admits.
+func ratio(s *sim, from, to time.Time) float64 {
+	n, central := 0, 0
+	for _, w := range s.workspaces {
+		n += between(w.admitted, from, to)
+		central += between(w.admittedBy, from, to)
+	}
+	return float64(n) / float64(max(central, 1))
+}
+
+// Guards against a limit that is exceeded in any window, and against one that admits much less than a single bucket would, in steady
+// demand below, at, and above the limit.
+func TestSteadyDemand(t *testing.T) {
+	for _, c := range []struct {
+		vms, workspaces int
+		rate, load      float64
+	}{
+		{3, 3, 40, 0.9},
+		{3, 3, 40, 4},
+		{30, 20, 20, 0.8},
+		{30, 20, 20, 1},
+		{79, 82, 16, 0.65},
+		{79, 10, 164, 4.5},
+		{79, 20, 6, 0.65},
+		{79, 20, 6, 3},
+		{300, 40, 60, 0.9},
+		{300, 10000, 3, 0.1},
+	} {
+		t.Run(fmt.Sprintf("%d VMs, %d workspaces of %g, load %g", c.vms, c.workspaces, c.rate, c.load), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(7, c.vms, min(c.vms, 4))
+			begin := s.now.Add(warmUp)
+			end := begin.Add(10 * time.Second)
+			for i := range c.workspaces {
+				w := s.workspace(i, c.rate, c.rate)
+				s.demand(w, end, func(t time.Time) float64 {
+					if t.Before(begin) {
+						return 0
+					}
+					return c.rate * c.load
+				}, s.anyVM)
+			}
+			s.runUntil(end.Add(time.Second))
+			checkLimits(t, s)
+			got := ratio(s, begin, end)
+			ops := float64(between(s.workspaces[0].admittedBy, begin, end)*c.workspaces) / 10
+			t.Logf("%.4f of the central bucket; about %.0f operations/s; %.2f calls/s and %.2f asks/s for each VM", got, ops,
+				float64(s.messages)/10/float64(c.vms), float64(s.asks)/10/float64(c.vms))
+			if got < 0.98 {
+				t.Errorf("%.4f of what one bucket admits, want 0.98", got)
+			}
+		})
+	}
+}
+
+// Guards against tokens that stay where the demand was: all callers of a workspace move to one VM, to another one, and to all.
+func TestDemandJumps(t *testing.T) {
+	for _, c := range []struct {
+		vms        int
+		rate, load float64
+	}{{3, 60, 0.9}, {30, 60, 3}, {79, 164, 0.9}, {79, 164, 4.6}, {300, 100, 0.9}, {79, 12, 0.9}} {
+		t.Run(fmt.Sprintf("%d VMs, limit %g, load %g", c.vms, c.rate, c.load), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(11, c.vms, min(c.vms, 4))
+			begin := s.now.Add(warmUp)
+			end := begin.Add(18 * time.Second)
+			for i := range 10 {
+				w := s.workspace(i, c.rate, c.rate)
+				s.demand(w, end, func(t time.Time) float64 {
+					if t.Before(begin) {
+						return 0
+					}
+					return c.rate * c.load
+				}, func(now time.Time) *simVM {
+					phase := int(now.Sub(begin)/(3*time.Second)) + i
+					if phase%3 == 2 {
+						return s.anyVM(now)
+					}
+					return s.vms[(phase*37+i)%len(s.vms)]
+				})
+			}
+			s.runUntil(end.Add(time.Second))
+			checkLimits(t, s)
+			for at := begin.Add(3 * time.Second); at.Before(end); at = at.Add(3 * time.Second) {
+				if got := ratio(s, at, at.Add(2*time.Second)); got < 0.95 {
+					t.Errorf("%.4f of what one bucket admits in the two seconds after a jump, want 0.95", got)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a limit that is exceeded while VMs are killed, started, frozen past the end of their tokens, and cut off in groups, with
+// keys that change hands.
+func TestFailures(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			sizes := []int{3, 8, 20, 79}
+			s := newSim(seed, sizes[seed%4], 4)
+			end := s.now.Add(90 * time.Second)
+			for i := range 16 {
+				rate := []float64{3, 10, 40, 150}[i%4]
+				w := s.workspace(i, rate, rate*[]float64{0.4, 1, 3}[i%3])
+				hot := s.anyVM(s.now)
+				s.demand(w, end, func(time.Time) float64 { return rate * 2.5 }, func(now time.Time) *simVM {
+					if s.rng.IntN(300) == 0 {
+						hot = s.anyVM(now)
+					}
+					if i%2 == 0 {
+						return hot
+					}
+					return s.anyVM(now)
+				})
+			}
+			s.runUntil(s.now.Add(warmUp))
+			begin := s.now
+			for s.now.Before(end) {
+				s.trouble()
+				s.runUntil(s.now.Add(time.Duration(s.rng.IntN(1500)) * time.Millisecond))
+			}
+			checkLimits(t, s)
+			t.Logf("%.3f of the central bucket, %d tokens came after their end", ratio(s, begin, end), s.expired)
+			if ratio(s, begin, end) < 0.05 {
+				t.Error("hardly anything was admitted: the test shows nothing")
+			}
+		})
+	}
+}
+
+// trouble lets some VMs fail, and others recover.
+func (s *sim) trouble() {
+	v := s.vms[s.rng.IntN(len(s.vms))]
+	switch s.rng.IntN(8) {
+	case 0:
+		s.stop(v)
+		s.after(time.Duration(500+s.rng.IntN(9000))*time.Millisecond, nil, func() {
+			if !v.running {
+				s.start(v)
+			}
+		})
+	case 1:
+		v.frozenUntil = s.now.Add(time.Duration(s.rng.IntN(9000)) * time.Millisecond)
+	case 2:
+		v.frozenUntil = s.now.Add(time.Duration(s.rng.IntN(800)) * time.Millisecond)
+	case 3:
+		v.cut = true
+		s.after(time.Duration(500+s.rng.IntN(9000))*time.Millisecond, nil, func() { v.cut = false })
+	case 4:
+		if s.rng.IntN(8) > 0 {
+			return
+		}
+		dc := v.member.DataCentre()
+		for _, o := range s.vms {
+			if o.member.DataCentre() == dc {
+				o.cut = true
+				s.after(7*time.Second, nil, func() { o.cut = false })
+			}
+		}
+	case 5:
+		if v.running && !v.cut { // a planned stop and a start
+			s.stop(v)
+			delete(s.leases, v.member.Name())
+			s.after(time.Duration(200+s.rng.IntN(2000))*time.Millisecond, nil, func() {
+				if !v.running {
+					s.start(v)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a burst for free when all VMs are killed and start again at once, and against slots that stay without a holder.
+func TestAllKilled(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(3, 20, 4)
+	end := s.now.Add(40 * time.Second)
+	for i := range 8 {
+		w := s.workspace(i, 50, 100)
+		s.demand(w, end, func(time.Time) float64 { return 200 }, s.anyVM)
+	}
+	s.runUntil(s.now.Add(warmUp))
+	killed := s.now
+	for _, v := range s.vms {
+		s.stop(v)
+	}
+	s.runUntil(s.now.Add(500 * time.Millisecond))
+	for _, v := range s.vms {
+		s.start(v)
+	}
+	s.runUntil(end)
+	checkLimits(t, s)
+	g.Expect(ratio(s, killed.Add(10*time.Second), end)).To(BeNumerically(">", 0.98))
+}
+
+// Guards against a cut-off data centre, or the others, that admit more than the limit together, and against a cut that stops one of the
+// sides: each side goes on with the slots that it holds.
+func TestDataCentreCutOff(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(5, 40, 4)
+	end := s.now.Add(warmUp + 20*time.Second)
+	for i := range 40 {
+		w := s.workspace(i, 40, 40)
+		s.demand(w, end, func(time.Time) float64 { return 25 }, s.anyVM)
+	}
+	s.runUntil(s.now.Add(warmUp))
+	from := s.now
+	for _, v := range s.vms {
+		v.cut = v.member.DataCentre() == "dc-1"
+	}
+	s.runUntil(s.now.Add(4 * time.Second))
+	g.Expect(ratio(s, from, s.now)).To(BeNumerically(">", 0.6))
+	s.runUntil(s.now.Add(6 * time.Second))
+	for _, v := range s.vms {
+		v.cut = false
+	}
+	s.runUntil(end)
+	checkLimits(t, s)
+	g.Expect(ratio(s, from, end)).To(BeNumerically(">", 0.7))
+	t.Logf("%.3f of the central bucket in the 4 s after the cut, %.3f in the 20 s", ratio(s, from, from.Add(4*time.Second)), ratio(s, from, end))
+}
+
+// Guards against holders that change although nobody joined or left, and slots of a workspace that are all held by one VM.
+func TestCandidates(t *testing.T) {
+	g := NewWithT(t)
+	var live []lead.Member
+	for i := range 79 {
+		cores := 0.192
+		if i < 8 {
+			cores = 0.8
+		}
+		name := fmt.Sprintf("vm-%d", i)
+		live = append(live, lead.NewMember(name, 0, 0, nil).WithLocation(fmt.Sprintf("dc-%d", i%4), name+":1").WithCores(cores))
+	}
+	several := 0
+	for _, k := range Keys() {
+		c := Candidates(live, k)
+		g.Expect(c).To(HaveLen(maxCandidates))
+		g.Expect(c[0].Cores()).To(Equal(0.8), "large VMs hold keys")
+		without := Candidates(append(live[:40:40], live[41:]...), k)
+		g.Expect(without[0].Name()).To(Equal(c[0].Name()))
+		if k.slot == 0 {
+			holders := make(map[string]bool)
+			for slot := range maxSlots {
+				holders[Candidates(live, Key{k.shard, slot})[0].Name()] = true
+			}
+			if len(holders) >= 3 {
+				several++
+			}
+		}
+	}
+	g.Expect(several).To(BeNumerically(">=", shards*3/4))
+	g.Expect(math.Abs(float64(len(Keys()) - shards*maxSlots))).To(BeZero())
+}
--- a/core/quota/wallet.go
+++ b/core/quota/wallet.go
@@ -72,6 +72,17 @@
 	}
 }
 
+// NextAsk returns when a slot may have tokens again, the earliest of the first n slots.
+func (w *Wallet) NextAsk(n int) time.Time {
+	first := w.refused[0]
+	for _, t := range w.refused[1:min(n, maxSlots)] {
+		if t.Before(first) {
+			first = t
+		}
+	}
+	return first
+}
+
 // MayAsk reports whether a slot may have tokens at now.
 func (w *Wallet) MayAsk(slot int, now time.Time) bool { return !now.Before(w.refused[slot]) }
 
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -12,7 +12,6 @@
 	"verbenagate/core/event"
 	"verbenagate/core/layout"
 	"verbenagate/core/lead"
-	"verbenagate/core/owner"
 	"verbenagate/core/quota"
 	"verbenagate/core/result"
 	"verbenagate/io/every"
@@ -22,14 +21,13 @@
 )
 
 const (
-	// admitTimeout bounds the wait of an operation for a token, callTimeout that for the reply of one VM.
+	// admitTimeout bounds the time in which an operation gets a token or is refused, and maxWait the part of it in which the operation
+	// waits for the refill of a slot that has no token left. callTimeout bounds the wait for the reply of one VM.
 	admitTimeout = 250 * time.Millisecond
+	maxWait      = 150 * time.Millisecond
 	callTimeout  = 100 * time.Millisecond
 	// batchDelay is the time between two calls to the same VM. Operations that arrive meanwhile share the next call.
 	batchDelay = 5 * time.Millisecond
-	// failureDelay is how long a VM that did not reply is not asked, and notHolderDelay the same for a slot that a VM does not hold.
-	failureDelay   = time.Second
-	notHolderDelay = 300 * time.Millisecond
 	// sweepInterval is how often unused state is dropped and refusals are logged.
 	sweepInterval = time.Second
 	// maxTokens bounds the tokens of one answer.
@@ -59,17 +57,13 @@
 	wallets [lockShards]walletShard
 	ledgers [lockShards]ledgerShard
 
-	mu         sync.Mutex
-	holder     quota.Holder
-	live       []string
-	candidates map[quota.Key][]lead.Member
-	order      map[int][]int // by shard: the order in which this VM asks the slots
-	lines      map[string]*line
-	failed     map[string]time.Time   // by address: until when the VM is not asked
-	notHolder  map[skipKey]time.Time  // until when the VM is not asked for the key
-	terms      map[quota.Key]bool     // keys that this VM held at the last sweep
-	refusals   map[string]*refusalLog // by workspace, since the last sweep
-	dropped    int                    // refusals of workspaces that refusals has no room for
+	mu       sync.Mutex
+	holder   quota.Holder
+	asker    *quota.Asker
+	lines    map[string]*line       // by address
+	terms    map[quota.Key]bool     // keys that this VM held at the last sweep
+	refusals map[string]*refusalLog // by workspace, since the last sweep
+	dropped  int                    // refusals of workspaces that refusals has no room for
 
 	background sync.WaitGroup
 }
@@ -84,27 +78,8 @@
 
 // ledgerShard holds the ledgers of some workspaces.
 type ledgerShard struct {
-	mu      sync.Mutex
-	ledgers map[ledgerKey]*account
-}
-
-type ledgerKey struct {
-	workspace string
-	slot      int
-}
-
-// account is a ledger and the term of the holder for which it counts.
-type account struct {
-	ledger  *quota.Ledger
-	term    time.Time
-	granted int64
-	lastVM  string
-	lastAt  time.Time
-}
-
-type skipKey struct {
-	key     quota.Key
-	address string
+	mu    sync.Mutex
+	books quota.Books
 }
 
 // reason says why an operation was refused.
@@ -126,14 +101,12 @@
 			reasonLimit:  metrics.Counter(Refused, string(reasonLimit)),
 			reasonSilent: metrics.Counter(Refused, string(reasonSilent)),
 		},
-		asked:      metrics.Counter(Calls),
-		candidates: make(map[quota.Key][]lead.Member), order: make(map[int][]int), lines: make(map[string]*line),
-		failed: make(map[string]time.Time), notHolder: make(map[skipKey]time.Time), terms: make(map[quota.Key]bool),
+		asked: metrics.Counter(Calls),
+		asker: quota.NewAsker(self), lines: make(map[string]*line), terms: make(map[quota.Key]bool),
 		refusals: make(map[string]*refusalLog),
 	}
 	for i := range lockShards {
 		d.wallets[i].wallets = make(map[string]*quota.Wallet)
-		d.ledgers[i].ledgers = make(map[ledgerKey]*account)
 	}
 	d.background.Go(func() { every.Interval(ctx, sweepInterval, d.sweep) })
 	return d
@@ -160,69 +133,7 @@
 func (d *Desk) SetMembers(live []lead.Member, asOf time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !sameMembers(d.live, live) {
-		d.setCandidates(live)
-	}
-	var named []quota.Key
-	for k, c := range d.candidates {
-		if len(c) > 0 && c[0].Name() == d.self.Name() {
-			named = append(named, k)
-		}
-	}
-	d.holder.SetNamed(named, asOf, d.clock())
-}
-
-// sameMembers reports whether the identities are those of the members.
-func sameMembers(identities []string, members []lead.Member) bool {
-	if len(identities) != len(members) {
-		return false
-	}
-	for i, m := range members {
-		if identities[i] != identity(m) {
-			return false
-		}
-	}
-	return true
-}
-
-func identity(m lead.Member) string { return m.Name() + " " + m.Address() }
-
-// setCandidates determines the candidates for all keys. The caller holds mu.
-func (d *Desk) setCandidates(live []lead.Member) {
-	d.live = d.live[:0]
-	for _, m := range live {
-		d.live = append(d.live, identity(m))
-	}
-	slots := make(map[int][]quota.Key)
-	for _, k := range quota.Keys() {
-		d.candidates[k] = quota.Candidates(live, k)
-		slots[k.Shard()] = append(slots[k.Shard()], k)
-	}
-	for shard, keys := range slots {
-		d.order[shard] = d.askOrder(keys)
-	}
-}
-
-// askOrder returns the order in which this VM asks the slots of a shard: those held in its data centre first, and the others in an order
-// of its own, so that all slots get their share of the demand.
-func (d *Desk) askOrder(keys []quota.Key) []int {
-	names := make([]string, 0, len(keys))
-	slots := make(map[string]int, len(keys))
-	near := make(map[string]bool, len(keys))
-	for _, k := range keys {
-		names, slots[k.String()] = append(names, k.String()), k.Slot()
-		c := d.candidates[k]
-		near[k.String()] = len(c) > 0 && c[0].DataCentre() == d.self.DataCentre()
-	}
-	var order, far []int
-	for _, name := range owner.Order(d.self.Name(), names) {
-		if near[name] {
-			order = append(order, slots[name])
-		} else {
-			far = append(far, slots[name])
-		}
-	}
-	return append(order, far...)
+	d.holder.SetNamed(d.asker.SetMembers(live), asOf, d.clock())
 }
 
 // Admit implements entry.Quota.
@@ -235,13 +146,19 @@
 	if ws.take(w.Name(), now, true) {
 		return nil
 	}
-	asked := uint(0)
+	asked, asks := uint(0), 0
 	silent := false
+	waitUntil := minTime(deadline, now.Add(maxWait))
 	for now.Before(deadline) {
 		slot, address, ok := d.nextSlot(ws, w.Name(), limit, asked, now)
+		if !ok && d.waitForRefill(ws, w.Name(), limit, now, waitUntil) {
+			asked, now = 0, d.clock()
+			continue
+		}
 		if !ok {
 			break
 		}
+		asks++
 		asked |= 1 << uint(slot)
 		o := d.ask(address, w.Name(), slot, limit)
 		now = d.clock()
@@ -262,7 +179,7 @@
 		}
 	}
 	why := reasonLimit
-	if silent || asked == 0 && !d.blocked(ws, w.Name(), limit, now) {
+	if silent || asks == 0 && !d.blocked(ws, w.Name(), limit, now) {
 		why = reasonSilent
 	}
 	return d.refuse(w.Name(), limit, why)
@@ -301,33 +218,38 @@
 func (d *Desk) nextSlot(ws *walletShard, workspace string, limit quota.Limit, asked uint, now time.Time) (int, string, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n := limit.Slots()
-	shard := quota.ShardOf(workspace)
 	if d.self.Address() == "" {
-		if asked == 0 {
-			return 0, "", true
-		}
-		return 0, "", false
+		return 0, "", asked == 0
 	}
-	for _, slot := range d.order[shard] {
-		if slot >= n || asked&(1<<uint(slot)) != 0 || !ws.mayAsk(workspace, slot, now) {
-			continue
-		}
-		key := quota.KeyOf(workspace, slot)
-		for _, c := range d.candidates[key] {
-			if now.Before(d.failed[c.Address()]) || now.Before(d.notHolder[skipKey{key, c.Address()}]) {
-				continue
-			}
-			return slot, c.Address(), true
-		}
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	return d.asker.Next(workspace, limit, ws.wallet(workspace), asked, now)
+}
+
+// waitForRefill waits until a slot of the workspace may have tokens again. It returns false at once if that is not before until.
+func (d *Desk) waitForRefill(ws *walletShard, workspace string, limit quota.Limit, now, until time.Time) bool {
+	ws.mu.Lock()
+	next := ws.wallet(workspace).NextAsk(limit.Slots())
+	ws.mu.Unlock()
+	if !next.After(now) || !next.Before(until) {
+		return false
+	}
+	t := time.NewTimer(next.Sub(now))
+	defer t.Stop()
+	select {
+	case <-d.ctx.Done():
+		return false
+	case <-t.C:
+		return true
 	}
-	return 0, "", false
 }
 
 // blocked reports whether a slot of the workspace has refused tokens and is not to be asked yet.
 func (d *Desk) blocked(ws *walletShard, workspace string, limit quota.Limit, now time.Time) bool {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
 	for slot := range limit.Slots() {
-		if !ws.mayAsk(workspace, slot, now) {
+		if !ws.wallet(workspace).MayAsk(slot, now) {
 			return true
 		}
 	}
@@ -338,21 +260,13 @@
 func (d *Desk) markFailed(address string, err error) {
 	now := d.clock()
 	d.mu.Lock()
-	known := now.Before(d.failed[address])
-	d.failed[address] = now.Add(failureDelay)
+	first := d.asker.Failed(address, now)
 	d.mu.Unlock()
-	if !known {
+	if first {
 		d.log.Event(event.HolderFailed, zap.String("address", address), zap.Error(err))
 	}
 }
 
-func (d *Desk) markNotHolder(key quota.Key, address string) {
-	now := d.clock()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.notHolder[skipKey{key, address}] = now.Add(notHolderDelay)
-}
-
 func lockShard(workspace string) int {
 	h := uint32(2166136261)
 	for i := range len(workspace) {
@@ -381,9 +295,3 @@
 	}
 	return w.Take(now)
 }
-
-func (ws *walletShard) mayAsk(workspace string, slot int, now time.Time) bool {
-	ws.mu.Lock()
-	defer ws.mu.Unlock()
-	return ws.wallet(workspace).MayAsk(slot, now)
-}
--- a/io/grant/hold.go
+++ b/io/grant/hold.go
@@ -74,19 +74,9 @@
 	if d.self.Address() != "" {
 		limit = limit.Slot(a.Slot)
 	}
-	key := ledgerKey{a.Workspace, a.Slot}
-	acc := s.ledgers[key]
-	if acc == nil || !acc.term.Equal(term) {
-		acc = &account{ledger: quota.NewLedger(limit, term), term: term}
-		s.ledgers[key] = acc
-	}
-	acc.ledger.SetLimit(limit, now)
-	g := acc.ledger.Grant(now, min(a.Need, maxTokens), min(a.Spare, maxTokens))
-	if n := g.Tokens + g.Spare; n > 0 {
-		acc.granted += int64(n)
-		acc.lastVM, acc.lastAt = vm, now
-	}
-	return newAnswer(g)
+	return newAnswer(s.books.Grant(quota.Ask{
+		Workspace: a.Workspace, Slot: a.Slot, Need: min(a.Need, maxTokens), Spare: min(a.Spare, maxTokens), Life: a.Life,
+	}, limit, term, now, vm))
 }
 
 // term returns since when this VM holds a key. A VM without an address is the only one.
@@ -127,25 +117,12 @@
 		ws.mu.Unlock()
 		s := &d.ledgers[i]
 		s.mu.Lock()
-		for key, acc := range s.ledgers {
-			if acc.ledger.Idle(now) {
-				delete(s.ledgers, key)
-			}
-		}
+		s.books.Sweep(now)
 		s.mu.Unlock()
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for address, until := range d.failed {
-		if now.After(until) {
-			delete(d.failed, address)
-		}
-	}
-	for key, until := range d.notHolder {
-		if now.After(until) {
-			delete(d.notHolder, key)
-		}
-	}
+	d.asker.Sweep(now)
 }
 
 // logTerms logs the keys that this VM has begun or ceased to hold.
@@ -215,12 +192,10 @@
 	for i := range lockShards {
 		shard := &d.ledgers[i]
 		shard.mu.Lock()
-		for key, acc := range shard.ledgers {
-			_ = acc.ledger.Idle(now) // brings it up to date
-			l := acc.ledger.Limit()
+		for _, a := range shard.books.Accounts(now) {
 			s.Ledgers = append(s.Ledgers, LedgerState{
-				Workspace: key.workspace, Slot: key.slot, Rate: l.Rate(), Burst: l.Burst(), Config: l.Version(), Used: acc.ledger.Used(),
-				Usable: acc.ledger.Usable(), Granted: acc.granted, LastVM: acc.lastVM, LastAge: now.Sub(acc.lastAt),
+				Workspace: a.Workspace, Slot: a.Slot, Rate: a.Limit.Rate(), Burst: a.Limit.Burst(), Config: a.Limit.Version(),
+				Used: a.Used, Usable: a.Usable, Granted: a.Granted, LastVM: a.LastVM, LastAge: now.Sub(a.LastAt),
 			})
 		}
 		shard.mu.Unlock()
--- a/io/grant/line.go
+++ b/io/grant/line.go
@@ -37,6 +37,7 @@
 	pending   []*waiter
 	scheduled bool
 	lastCall  time.Time
+	replies   quota.ReplyTime
 }
 
 // ask asks the VM at address for a token and waits for the outcome. If the address is empty, it is this VM without other VMs.
@@ -73,8 +74,9 @@
 	d.mu.Lock()
 	pending := l.pending
 	l.pending, l.scheduled, l.lastCall = nil, false, sent
+	life := l.replies.Life()
 	d.mu.Unlock()
-	q, groups := d.newCall(pending, sent)
+	q, groups := d.newCall(pending, life, sent)
 	if address == d.self.Address() {
 		d.settle(address, groups, d.grant(q), sent)
 		return
@@ -94,22 +96,29 @@
 		}
 		return
 	}
+	d.mu.Lock()
+	l.replies.Record(d.clock().Sub(sent))
+	d.mu.Unlock()
 	d.settle(address, groups, r, sent)
 }
 
 // newCall returns the call for the pending requests, and the requests by ask.
-func (d *Desk) newCall(pending []*waiter, now time.Time) (call, [][]*waiter) {
+func (d *Desk) newCall(pending []*waiter, life time.Duration, now time.Time) (call, [][]*waiter) {
 	q := call{VM: d.self.Name()}
 	var groups [][]*waiter
-	index := make(map[ledgerKey]int, len(pending))
+	type slotOf struct {
+		workspace string
+		slot      int
+	}
+	index := make(map[slotOf]int, len(pending))
 	for _, w := range pending {
-		key := ledgerKey{w.workspace, w.slot}
+		key := slotOf{w.workspace, w.slot}
 		i, ok := index[key]
 		if !ok {
 			i = len(groups)
 			index[key] = i
 			groups = append(groups, nil)
-			q.Asks = append(q.Asks, ask{Workspace: w.workspace, Slot: w.slot})
+			q.Asks = append(q.Asks, ask{Workspace: w.workspace, Slot: w.slot, Life: life})
 		}
 		a := &q.Asks[i]
 		a.Need++
@@ -133,7 +142,9 @@
 	for i, group := range groups {
 		a, first := r.Answers[i], group[0]
 		if a.NotHolder {
-			d.markNotHolder(quota.KeyOf(first.workspace, first.slot), address)
+			d.mu.Lock()
+			d.asker.NotHolder(first.workspace, first.slot, address, now)
+			d.mu.Unlock()
 			finish(group, outcome{kind: notHolding})
 			continue
 		}
--- a/io/grant/message.go
+++ b/io/grant/message.go
@@ -22,6 +22,8 @@
 	Rate      float64 `cbor:"5,keyasint"`
 	Burst     float64 `cbor:"6,keyasint"`
 	Version   uint64  `cbor:"7,keyasint"`
+	// Life is how long the tokens that are needed must be usable.
+	Life time.Duration `cbor:"8,keyasint"`
 }
 
 // reply has an answer for each ask, in their order.
