core/quota, io/grant: the holder of a main slot borrows the others

Change: one VM grants for all slots of a shard while their holders lend them, for a second at a time; when it fails they go on themselves.

--- a/core/quota/asker.go
+++ b/core/quota/asker.go
@@ -75,25 +75,28 @@
 
 func identity(m lead.Member) string { return m.Name() + " " + m.Address() }
 
-// askOrder returns the order in which this VM asks the slots of a shard: those held in its data centre first, and the others in an order
-// of its own, so that all slots get their share of the demand.
+// askOrder returns the order in which this VM asks the slots of a shard: the main one first, then those held in its data centre, and the
+// others in an order of its own.
 func (a *Asker) askOrder(keys []Key) []int {
 	names := make([]string, 0, len(keys))
 	byName := make(map[string]Key, len(keys))
 	for _, k := range keys {
-		names = append(names, k.String())
-		byName[k.String()] = k
+		if k.slot != mainSlot {
+			names = append(names, k.String())
+			byName[k.String()] = k
+		}
 	}
-	var near, far []int
+	order := []int{mainSlot}
+	var far []int
 	for _, name := range owner.Order(a.self.Name(), names) {
 		k := byName[name]
 		if c := a.candidates[k]; len(c) > 0 && c[0].DataCentre() == a.self.DataCentre() {
-			near = append(near, k.slot)
+			order = append(order, k.slot)
 		} else {
 			far = append(far, k.slot)
 		}
 	}
-	return append(near, far...)
+	return append(order, far...)
 }
 
 // Next returns the slot of the workspace to ask next at now, and the address of the VM to ask. Asked has a bit for each slot that was
@@ -113,6 +116,15 @@
 	return 0, "", false
 }
 
+// FirstCandidate returns the first candidate for a key.
+func (a *Asker) FirstCandidate(k Key) (lead.Member, bool) {
+	c := a.candidates[k]
+	if len(c) == 0 {
+		return lead.Member{}, false
+	}
+	return c[0], true
+}
+
 // Failed records that the VM at address did not reply. It returns false if that is known.
 func (a *Asker) Failed(address string, now time.Time) bool {
 	known := now.Before(a.failed[address])
--- a/core/quota/books.go
+++ b/core/quota/books.go
@@ -32,20 +32,30 @@
 	Life time.Duration
 }
 
-// Grant grants tokens to vm, for a slot with this limit that this VM has held since term. A ledger of an earlier term is not used:
-// another VM may have granted tokens since.
-func (b *Books) Grant(a Ask, limit Limit, term, now time.Time, vm string) Grant {
+// Grant grants tokens to vm, for a slot that this VM has held since term, of a workspace with this limit. The holder of the main slot
+// grants those of the slots that it has borrowed too. A ledger of an earlier term is not used: another VM may have granted tokens since.
+func (b *Books) Grant(a Ask, limit Limit, term time.Time, loans Loans, now time.Time, vm string) Grant {
 	if b.accounts == nil {
 		b.accounts = make(map[account]*entry)
 	}
 	key := account{a.Workspace, a.Slot}
 	e := b.accounts[key]
 	if e == nil || !e.term.Equal(term) {
-		e = &entry{ledger: NewLedger(limit, term), term: term}
+		e = &entry{ledger: NewLedger(limit, a.Slot, term), term: term}
 		b.accounts[key] = e
 	}
+	if a.Slot == mainSlot {
+		e.ledger.SetLoans(loans, now)
+	}
 	e.ledger.SetLimit(limit, now)
 	g := e.ledger.Grant(now, a.Need, a.Spare, a.Life)
+	if a.Slot == mainSlot {
+		for slot, loan := range loans {
+			if now.Before(loan.Until) {
+				g.Borrowed |= 1 << slot
+			}
+		}
+	}
 	if n := g.Tokens + g.Spare; n > 0 {
 		e.granted += int64(n)
 		e.lastVM, e.lastAt = vm, now
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -61,6 +61,7 @@
 type Holder struct {
 	leaseSince, leaseUntil time.Time
 	named                  map[Key]naming
+	lent                   map[Key]lent
 }
 
 // naming says that lists of live VMs named this VM as holder.
@@ -91,15 +92,38 @@
 
 // Term returns since when this VM has held a key without a gap. It returns false if it does not hold it at now.
 func (h *Holder) Term(k Key, now time.Time) (time.Time, bool) {
+	since, _, ok := h.termOf(k, now)
+	lent := h.lent[k]
+	if !ok || now.Before(lent.until) {
+		return time.Time{}, false
+	}
+	if lent.until.After(since) {
+		since = lent.until
+	}
+	return since, true
+}
+
+// Holds reports whether this VM holds a key at now, lent or not.
+func (h *Holder) Holds(k Key, now time.Time) bool {
+	_, _, ok := h.termOf(k, now)
+	return ok
+}
+
+// termOf returns since when this VM has held a key without a gap, lent or not, and until when at least it will.
+func (h *Holder) termOf(k Key, now time.Time) (since, until time.Time, ok bool) {
 	n, ok := h.named[k]
 	ready := h.leaseSince.Add(ListLife + clockMargin)
-	if !ok || h.leaseSince.IsZero() || now.Before(ready) || !now.Before(h.leaseUntil) || !now.Before(n.asOf.Add(ListLife)) {
-		return time.Time{}, false
+	until = n.asOf.Add(ListLife)
+	if h.leaseUntil.Before(until) {
+		until = h.leaseUntil
+	}
+	if !ok || h.leaseSince.IsZero() || now.Before(ready) || !now.Before(until) {
+		return time.Time{}, time.Time{}, false
 	}
 	if ready.After(n.since) {
-		return ready, true
+		return ready, until, true
 	}
-	return n.since, true
+	return n.since, until, true
 }
 
 // Named returns the keys of which lists of the last ListLife name this VM as holder.
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -30,12 +30,17 @@
 	end time.Time
 }
 
-// Ledger is the account of a slot of a workspace at its holder. A token counts as usable from when it is granted until its end, and as
-// used at its end. Used tokens are worked off at the rate of the limit. A token is granted only if usable and used ones together stay
-// within the burst. A window of length d then holds at most rate x d + burst uses, whenever the tokens are used before their ends.
-// It is not safe for concurrent use.
+// Ledger is the account of a slot of a workspace at its holder, and of the slots that the holder has borrowed. A token counts as usable
+// from when it is granted until its end, and as used at its end. Used tokens are worked off at the rate of the limit. A token is granted
+// only if usable and used ones together stay within the burst. A window of length d then holds at most rate x d + burst uses, whenever the
+// tokens are used before their ends. It is not safe for concurrent use.
+//
+// A slot that comes or goes brings or takes its part of the burst along as tokens that are usable until MaxHold later. So the sum of usable
+// and used tokens over all ledgers of a workspace falls only by the rate of the limit, and the bound holds for all ledgers together.
 type Ledger struct {
-	limit   Limit
+	whole   Limit // of the workspace
+	limit   Limit // of the slots that count here
+	parts   [maxSlots]part
 	used    float64
 	at      time.Time // the time of used
 	holds   []hold    // in the order of their ends
@@ -43,21 +48,104 @@
 	waiting float64   // tokens that were refused lately and will be asked for again
 }
 
-// NewLedger returns the ledger of a holder that took over at start. The holder before it may have granted the whole burst until then.
-func NewLedger(limit Limit, start time.Time) *Ledger {
-	return &Ledger{limit: limit, at: start, holds: []hold{{limit.burst, start.Add(MaxHold)}}, usable: limit.burst}
+// part says whether a slot counts in a ledger.
+type part struct {
+	in   bool
+	loan Loan // zero for the slot that the holder holds itself
 }
 
-// Limit returns the limit in force.
-func (l *Ledger) Limit() Limit { return l.limit }
+// Loan is the time for which the holder of the main slot has borrowed another slot.
+type Loan struct {
+	Since, Until time.Time
+}
+
+// Loans holds the loans of the slots of a shard, by slot.
+type Loans [maxSlots]Loan
+
+// NewLedger returns the ledger of a holder of a slot that took over at start. The holder before it may have granted the whole burst until
+// then.
+func NewLedger(whole Limit, slot int, start time.Time) *Ledger {
+	l := &Ledger{whole: whole, at: start}
+	if slot >= 0 && slot < maxSlots {
+		l.parts[slot].in = true
+	}
+	l.setLimit()
+	l.hold(l.limit.burst, start.Add(MaxHold))
+	return l
+}
+
+// setLimit adds up the limit of the slots that count here.
+func (l *Ledger) setLimit() {
+	l.limit = Limit{version: l.whole.version}
+	for slot, p := range l.parts {
+		if p.in {
+			share := l.whole.Slot(slot)
+			l.limit.rate += share.rate
+			l.limit.burst += share.burst
+		}
+	}
+}
+
+// SetLoans sets the slots that the holder has borrowed.
+func (l *Ledger) SetLoans(loans Loans, now time.Time) {
+	for slot := range l.parts {
+		if p := &l.parts[slot]; p.in && !p.loan.Since.IsZero() && p.loan.Since.Equal(loans[slot].Since) {
+			p.loan = loans[slot]
+		}
+	}
+	for slot := l.nextEnd(now); slot >= 0; slot = l.nextEnd(now) {
+		l.removeSlot(slot)
+	}
+	for slot, loan := range loans {
+		if !l.parts[slot].in && now.Before(loan.Until) {
+			l.addSlot(slot, loan)
+		}
+	}
+}
+
+// nextEnd returns the slot whose loan ended first, or -1 if none has ended at now.
+func (l *Ledger) nextEnd(now time.Time) int {
+	first := -1
+	for slot, p := range l.parts {
+		if p.in && !p.loan.Until.IsZero() && !now.Before(p.loan.Until) && (first < 0 || p.loan.Until.Before(l.parts[first].loan.Until)) {
+			first = slot
+		}
+	}
+	return first
+}
+
+func (l *Ledger) addSlot(slot int, loan Loan) {
+	l.advance(loan.Since)
+	l.parts[slot] = part{in: true, loan: loan}
+	l.setLimit()
+	l.hold(l.whole.Slot(slot).burst, l.at.Add(MaxHold))
+}
+
+func (l *Ledger) removeSlot(slot int) {
+	l.advance(l.parts[slot].loan.Until)
+	before := l.limit.burst
+	l.parts[slot] = part{}
+	l.setLimit()
+	if before <= 0 {
+		return
+	}
+	kept := l.limit.burst / before
+	l.used *= kept
+	l.usable = 0
+	for i := range l.holds {
+		l.holds[i].n *= kept
+		l.usable += l.holds[i].n
+	}
+}
 
-// SetLimit replaces the limit from now on, unless it is from an older configuration.
-func (l *Ledger) SetLimit(limit Limit, now time.Time) {
-	if limit.version < l.limit.version || limit == l.limit {
+// SetLimit replaces the limit of the workspace from now on, unless it is from an older configuration.
+func (l *Ledger) SetLimit(whole Limit, now time.Time) {
+	if whole.version < l.whole.version || whole == l.whole {
 		return
 	}
 	l.advance(now)
-	l.limit = limit
+	l.whole = whole
+	l.setLimit()
 }
 
 // advance accounts for the time until now.
@@ -93,6 +181,8 @@
 	SpareLife time.Duration
 	// Retry is how long the VM is not to ask again for this workspace and slot. It is 0 if all tokens needed were granted.
 	Retry time.Duration
+	// Borrowed has a bit for each other slot of which tokens were granted too. It is of no use to ask for them elsewhere.
+	Borrowed uint
 }
 
 // Grant grants up to need tokens, which may be used for life, for operations that wait, and up to spare for expected ones as long as
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -16,8 +16,8 @@
 	// maxSlots is how many slots a workspace has at most. A VM that fails takes the part of its slots with it until they have a new
 	// holder.
 	maxSlots = 4
-	// minSlotBurst is the smallest burst of one of several slots. With a burst of 1, a slot could grant no token while one is in use.
-	minSlotBurst = 2
+	// mainSlot is the slot whose holder borrows the others.
+	mainSlot = 0
 	// shards is the number of groups of workspaces that have the same holders. It bounds the number of holders that a VM calls.
 	shards = 8
 )
@@ -44,8 +44,8 @@
 // Version returns the version of the configuration that sets the limit.
 func (l Limit) Version() uint64 { return l.version }
 
-// Slots returns the number of slots of the workspace.
-func (l Limit) Slots() int { return int(min(max(math.Floor(l.burst/minSlotBurst), 1), maxSlots)) }
+// Slots returns the number of slots of the workspace. Each of them has a burst of at least 1.
+func (l Limit) Slots() int { return int(min(max(math.Floor(l.burst), 1), maxSlots)) }
 
 // Slot returns the part of the limit that belongs to a slot. The bursts of all slots but the first are whole numbers, and the rate is
 // divided in the same proportion. The parts add up to the limit. A slot that the workspace does not have gets nothing.
@@ -70,6 +70,9 @@
 	shard, slot int
 }
 
+// NewKey returns a key.
+func NewKey(shard, slot int) Key { return Key{shard: shard, slot: slot} }
+
 // KeyOf returns the key of a slot of a workspace.
 func KeyOf(workspace string, slot int) Key {
 	return Key{shard: ShardOf(workspace), slot: slot}
--- a/core/quota/wallet.go
+++ b/core/quota/wallet.go
@@ -65,10 +65,15 @@
 	return max(int(w.demandAt(now)*spareHorizon.Seconds())-n, 0)
 }
 
-// Refused records that a slot has no tokens before until.
-func (w *Wallet) Refused(slot int, until time.Time) {
-	if slot >= 0 && slot < maxSlots {
-		w.refused[slot] = until
+// RecordRefusal records that a slot, and those of which it granted tokens too, have no tokens for the time in g.
+func (w *Wallet) RecordRefusal(slot int, g Grant, now time.Time) {
+	if g.Retry <= 0 {
+		return
+	}
+	for s := range w.refused {
+		if s == slot || g.Borrowed&(1<<s) != 0 {
+			w.refused[s] = now.Add(g.Retry)
+		}
 	}
 }
 
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -59,6 +59,7 @@
 
 	mu       sync.Mutex
 	holder   quota.Holder
+	borrower quota.Borrower
 	asker    *quota.Asker
 	lines    map[string]*line       // by address
 	terms    map[quota.Key]bool     // keys that this VM held at the last sweep
@@ -109,6 +110,7 @@
 		d.wallets[i].wallets = make(map[string]*quota.Wallet)
 	}
 	d.background.Go(func() { every.Interval(ctx, sweepInterval, d.sweep) })
+	d.background.Go(func() { every.Interval(ctx, quota.LoanInterval, d.borrow) })
 	return d
 }
 
@@ -121,6 +123,13 @@
 		}
 		return d.grant(q), nil
 	})
+	s.Handle(link.Loans, func(_ context.Context, _ *link.Inbound, c link.Call) (any, error) {
+		var q loanCall
+		if err := c.Decode(&q); err != nil {
+			return nil, err
+		}
+		return d.lend(q), nil
+	})
 }
 
 // Wait waits until the desk has ended. Call it when the context passed to New has ended.
--- a/io/grant/hold.go
+++ b/io/grant/hold.go
@@ -67,27 +67,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := d.clock()
-	term, ok := d.term(quota.KeyOf(a.Workspace, a.Slot), now)
+	term, loans, ok := d.term(quota.KeyOf(a.Workspace, a.Slot), now)
 	if !ok {
 		return answer{NotHolder: true}
 	}
-	if d.self.Address() != "" {
-		limit = limit.Slot(a.Slot)
-	}
 	return newAnswer(s.books.Grant(quota.Ask{
 		Workspace: a.Workspace, Slot: a.Slot, Need: min(a.Need, maxTokens), Spare: min(a.Spare, maxTokens), Life: a.Life,
-	}, limit, term, now, vm))
+	}, limit, term, loans, now, vm))
 }
 
-// term returns since when this VM holds a key. A VM without an address is the only one.
-func (d *Desk) term(k quota.Key, now time.Time) (time.Time, bool) {
+// term returns since when this VM holds a key, and the loans of the shard. A VM without an address has all slots for itself.
+func (d *Desk) term(k quota.Key, now time.Time) (time.Time, quota.Loans, bool) {
 	if d.self.Address() == "" {
-		return d.started, true
+		return d.started, quota.AllSlots(d.started), true
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.holder.SetLease(d.lease())
-	return d.holder.Term(k, now)
+	term, ok := d.holder.Term(k, now)
+	return term, d.borrower.Loans(k.Shard()), ok
+}
+
+// holds reports whether this VM holds a key, lent or not.
+func (d *Desk) holds(k quota.Key, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.holder.SetLease(d.lease())
+	return d.holder.Holds(k, now)
 }
 
 // Holds reports whether this VM may hold slots now. It then needs a fresh list of live VMs.
@@ -129,7 +135,7 @@
 func (d *Desk) logTerms(now time.Time) {
 	var began, ended []string
 	for _, k := range quota.Keys() {
-		_, holds := d.term(k, now)
+		holds := d.holds(k, now)
 		if holds == d.terms[k] {
 			continue
 		}
@@ -185,7 +191,7 @@
 	now := d.clock()
 	var s State
 	for _, k := range quota.Keys() {
-		if _, ok := d.term(k, now); ok {
+		if d.holds(k, now) {
 			s.Holds = append(s.Holds, k.String())
 		}
 	}
--- a/io/grant/line.go
+++ b/io/grant/line.go
@@ -153,9 +153,7 @@
 		ws.mu.Lock()
 		w := ws.wallet(first.workspace)
 		w.Add(min(a.Spare, maxTokens), sent.Add(a.SpareLife))
-		if a.Retry > 0 {
-			w.Refused(first.slot, now.Add(a.Retry))
-		}
+		w.RecordRefusal(first.slot, quota.Grant{Retry: a.Retry, Borrowed: a.Borrowed}, now)
 		ws.mu.Unlock()
 		finish(group[:n], outcome{kind: granted, end: sent.Add(a.Life)})
 		finish(group[n:], outcome{kind: refused})
--- a/io/grant/message.go
+++ b/io/grant/message.go
@@ -31,7 +31,7 @@
 	Answers []answer `cbor:"1,keyasint"`
 }
 
-// answer is the encoded form of a quota.Grant. NotHolder says that the VM does not hold the slot.
+// answer is the encoded form of a quota.Grant. NotHolder says that the VM does not hold the slot, or has lent it.
 type answer struct {
 	Tokens    int           `cbor:"1,keyasint,omitempty"`
 	Life      time.Duration `cbor:"2,keyasint,omitempty"`
@@ -39,8 +39,27 @@
 	SpareLife time.Duration `cbor:"4,keyasint,omitempty"`
 	Retry     time.Duration `cbor:"5,keyasint,omitempty"`
 	NotHolder bool          `cbor:"6,keyasint,omitempty"`
+	Borrowed  uint          `cbor:"7,keyasint,omitempty"`
 }
 
 func newAnswer(g quota.Grant) answer {
-	return answer{Tokens: g.Tokens, Life: g.Life, Spare: g.Spare, SpareLife: g.SpareLife, Retry: g.Retry}
+	return answer{Tokens: g.Tokens, Life: g.Life, Spare: g.Spare, SpareLife: g.SpareLife, Retry: g.Retry, Borrowed: g.Borrowed}
+}
+
+// loanCall asks the holder of slots to lend them to the VM that holds the main slots.
+type loanCall struct {
+	VM   string `cbor:"1,keyasint"` // the caller
+	Keys []key  `cbor:"2,keyasint"`
+}
+
+// key is the encoded form of a quota.Key.
+type key struct {
+	_     struct{} `cbor:",toarray"`
+	Shard int
+	Slot  int
+}
+
+// loanReply has for each key how long it is lent from now on, 0 if it is not.
+type loanReply struct {
+	Lives []time.Duration `cbor:"1,keyasint"`
 }
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -21,6 +21,7 @@
 	Position
 	// Tokens for the operations of limited workspaces; see io/grant.
 	Tokens
+	Loans
 )
 
 // request is a call from one VM to another.
