core/quota, core/lead, io/elect: holders of slots outlast outages of the store and restarts

Leases end 6 s after the store goes silent, and a VM that was started again waited as long again before it granted tokens. Change: for slots a VM counts as present for 5 s after its lease; rows of leases say since when these have had no gap, so that a new process goes on at once.

--- a/core/lead/agent.go
+++ b/core/lead/agent.go
@@ -104,9 +104,31 @@
 	return slices.CompactFunc(members, func(a, b Member) bool { return a.name == b.name })
 }
 
+// WithContinuity returns a copy of the member whose lease has been valid without a gap since a time on the store's clock, if the write that
+// extended it took effect before provenUntil, the end of the lease until then.
+func (m Member) WithContinuity(since, provenUntil time.Duration) Member {
+	m.since, m.provenUntil = since, provenUntil
+	return m
+}
+
+// Continuity returns the values of WithContinuity.
+func (m Member) Continuity() (since, provenUntil time.Duration) { return m.since, m.provenUntil }
+
+// ValidSince returns since when on the store's clock the VM has been present without a gap, its lease valid or ended less than Linger ago,
+// for a member that was read when the clock showed storeTime at most. It returns false if it is not known to have been present earlier.
+func (m Member) ValidSince(storeTime time.Duration) (time.Duration, bool) {
+	if storeTime >= m.provenUntil+Linger || storeTime >= m.until+Linger || m.since >= storeTime {
+		return 0, false
+	}
+	return m.since, true
+}
+
 // Grants are the leases that a VM has requested from the store, for itself and for other VMs. An entry stays until its lease
 // has certainly expired, because each write replaces the whole row of entries. Grants is immutable.
-type Grants struct{ members map[string]Member }
+type Grants struct {
+	members   map[string]Member
+	confirmed map[string]Member // as the store is known to hold them
+}
 
 // NewGrants returns the grants read from a stored row.
 func NewGrants(members []Member) Grants {
@@ -120,23 +142,52 @@
 // With returns the grants with the leases of renew extended to until on the store's clock and the leases of leave removed.
 // StoreTime is a time that the store's clock has shown.
 func (g Grants) With(renew, leave []Member, until, storeTime time.Duration) Grants {
+	return g.WithKept(renew, leave, until, storeTime, 0)
+}
+
+// WithKept returns the same as With, but keeps entries for linger after the end of their lease.
+func (g Grants) WithKept(renew, leave []Member, until, storeTime, linger time.Duration) Grants {
 	next := make(map[string]Member, len(g.members)+len(renew))
 	for name, m := range g.members {
-		if m.until+maxClockDrift > storeTime {
+		if m.until+maxClockDrift+linger > storeTime {
 			next[name] = m
 		}
 	}
 	for _, m := range renew {
 		m.until = max(until, next[m.name].until)
+		m.since, m.provenUntil = m.until, 0
+		if c, ok := g.confirmed[m.name]; ok {
+			m.since, m.provenUntil = c.since, c.until
+		}
 		next[m.name] = m
 	}
 	for _, m := range leave {
 		delete(next, m.name)
 	}
-	return Grants{members: next}
+	return Grants{members: next, confirmed: g.confirmed}
+}
+
+// Confirm returns the grants after the store is known to hold the entries of names, at a time when its clock showed storeTime at most.
+func (g Grants) Confirm(names []string, storeTime time.Duration) Grants {
+	confirmed := make(map[string]Member, len(g.members))
+	for name, c := range g.confirmed {
+		if _, ok := g.members[name]; ok {
+			confirmed[name] = c
+		}
+	}
+	for _, name := range names {
+		if m, ok := g.members[name]; ok {
+			if _, ok := m.ValidSince(storeTime); !ok {
+				m.since = storeTime
+			}
+			confirmed[name] = m
+		}
+	}
+	return Grants{members: g.members, confirmed: confirmed}
 }
 
-// Union returns the grants of g and older. For a VM in both, the entry of g is kept, with the later of the two lease ends.
+// Union returns the grants of g and older. For a VM in both, the entry of g is kept, with the later of the two lease ends. What
+// the store is known to hold is taken from older.
 func (g Grants) Union(older Grants) Grants {
 	next := maps.Clone(older.members)
 	if next == nil {
@@ -146,7 +197,7 @@
 		m.until = max(m.until, next[name].until)
 		next[name] = m
 	}
-	return Grants{members: next}
+	return Grants{members: next, confirmed: older.confirmed}
 }
 
 // Members returns the entries ordered by name.
--- a/core/lead/fleet.go
+++ b/core/lead/fleet.go
@@ -1,6 +1,8 @@
 package lead
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -11,8 +13,9 @@
 // reach. It leaves out what changes with each renewal, so that a VM needs a new Fleet only when another VM starts, ends or
 // changes its suspicion. Fleet is immutable.
 type Fleet struct {
-	live    []Member
-	holders int
+	live      []Member
+	lingering []Member
+	holders   int
 }
 
 // NewFleet returns the fleet of live VMs. Holders is how many VMs may hold connections to servers.
@@ -20,7 +23,30 @@
 
 // FleetOf returns the fleet of the members when the store's clock shows storeTime.
 func FleetOf(members []Member, storeTime time.Duration) Fleet {
-	return NewFleet(LiveMembers(members, storeTime), ConnectionHolders(members, storeTime))
+	f := NewFleet(LiveMembers(members, storeTime), ConnectionHolders(members, storeTime))
+	var lingering []Member
+	for _, m := range LiveMembers(members, storeTime-Linger) {
+		if m.until <= storeTime {
+			lingering = append(lingering, m)
+		}
+	}
+	return f.WithLingering(lingering)
+}
+
+// WithLingering returns the fleet with the VMs whose lease has ended less than Linger ago.
+func (f Fleet) WithLingering(lingering []Member) Fleet {
+	f.lingering = lingering
+	return f
+}
+
+// Lingering returns the VMs whose lease has ended less than Linger ago.
+func (f Fleet) Lingering() []Member { return f.lingering }
+
+// Present returns the live VMs and those whose lease has ended less than Linger ago, ordered by name.
+func (f Fleet) Present() []Member {
+	all := slices.Concat(f.live, f.lingering)
+	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.name, b.name) })
+	return all
 }
 
 // Live returns the live VMs, ordered by name. Their epochs and lease ends are not part of the fleet.
@@ -36,7 +62,10 @@
 		_, _ = h.WriteString(s)
 		_, _ = h.Write([]byte{0})
 	}
-	for _, m := range f.live {
+	for i, m := range slices.Concat(f.live, f.lingering) {
+		if i >= len(f.live) {
+			write("lingering")
+		}
 		write(m.name)
 		write(m.dataCentre)
 		write(m.address)
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -21,6 +21,9 @@
 	LeaseDuration = 6 * time.Second
 	// RenewInterval is the interval between lease renewals.
 	RenewInterval = 1250 * time.Millisecond
+	// Linger is how long after the end of its lease a VM still counts as present for work that only must not pass to two VMs at once.
+	// With it, such work outlasts longer outages of the store than the use of primaries.
+	Linger = 5 * time.Second
 	// maxClockDrift allows for clocks that run at slightly different rates.
 	maxClockDrift = 100 * time.Millisecond
 	// promotionOrderWindow is how long after writing a moving record a VM may still order the promotion. takeoverDelay is how
@@ -110,6 +113,9 @@
 	dataCentre string
 	address    string
 	cores      float64
+
+	// since and provenUntil say how long the lease has been valid without a gap; see ValidSince.
+	since, provenUntil time.Duration
 }
 
 // NewMember returns the entry of a VM that has seen epoch and whose lease ends at until on the store's clock. Suspected lists
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -15,9 +15,9 @@
 	// maxCandidates is how many VMs may be asked for a key. All but the first are asked while those before it do not hold the key.
 	maxCandidates = 3
 	// ListLife is how long a list of live VMs that names a VM as holder of a key lets it grant tokens. A VM that has just got its lease
-	// waits as long, until all others have seen it. It is as long as a lease, so that a holder outlasts the same outages of the store as
-	// a VM that uses a primary.
-	ListLife = lead.LeaseDuration
+	// waits as long, until all others have seen it. It is as long as a VM is present after the last renewal of its lease, so that a
+	// holder outlasts the same outages of the store with its list as with its lease.
+	ListLife = lead.LeaseDuration + lead.Linger
 	// clockMargin is added to the wait: the clocks of two VMs may run at rates that differ a little.
 	clockMargin = 100 * time.Millisecond
 )
@@ -59,9 +59,11 @@
 // last ListLife names it as the first candidate. Two VMs cannot both hold a key: the one that comes first in the order of the key has
 // been live for ListLife, so it is in each list on which the other one could rely.
 type Holder struct {
-	leaseSince, leaseUntil time.Time
-	named                  map[Key]naming
-	lent                   map[Key]lent
+	leaseSince, leaseUntil, provenSince time.Time
+
+	named map[Key]naming
+	lent  map[Key]lent
+	terms map[Key]time.Time // the starts of the terms that Term returned last
 }
 
 // naming says that lists of live VMs named this VM as holder.
@@ -70,8 +72,25 @@
 	asOf  time.Time // of the last list
 }
 
-// SetLease sets since when this VM's lease has been valid without a gap, and its end.
-func (h *Holder) SetLease(since, until time.Time) { h.leaseSince, h.leaseUntil = since, until }
+// SetLease sets since when the lease of this process has been valid without a gap, and its end. Proven is since when leases of this VM, also
+// those of an earlier process, have been valid without a gap, zero if that is not known.
+func (h *Holder) SetLease(since, until, proven time.Time) {
+	h.leaseSince, h.leaseUntil, h.provenSince = since, until, proven
+}
+
+// ready returns from when on this VM may hold keys. An earlier process of the VM may have lent keys, of which this one knows nothing.
+func (h *Holder) ready() time.Time {
+	ready := h.leaseSince.Add(ListLife + clockMargin)
+	if h.provenSince.IsZero() {
+		return ready
+	}
+	proven := h.provenSince.Add(ListLife + clockMargin)
+	proven = latest(proven, h.leaseSince.Add(loanLife+loanMargin))
+	if proven.Before(ready) {
+		return proven
+	}
+	return ready
+}
 
 // SetNamed records a list of live VMs as of asOf, in which this VM is the first candidate of keys.
 func (h *Holder) SetNamed(keys []Key, asOf, now time.Time) {
@@ -97,10 +116,22 @@
 	if !ok || now.Before(lent.until) {
 		return time.Time{}, false
 	}
-	if lent.until.After(since) {
-		since = lent.until
+	// A term that goes on keeps its start, also if it is proven later that it could have begun earlier.
+	if t, ok := h.terms[k]; ok && !t.Before(h.leaseSince) && !t.Before(h.named[k].since) && !t.Before(lent.until) {
+		return t, true
 	}
-	return since, true
+	if h.terms == nil {
+		h.terms = make(map[Key]time.Time)
+	}
+	h.terms[k] = latest(since, lent.until)
+	return h.terms[k], true
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Holds reports whether this VM holds a key at now, lent or not.
@@ -112,7 +143,7 @@
 // termOf returns since when this VM has held a key without a gap, lent or not, and until when at least it will.
 func (h *Holder) termOf(k Key, now time.Time) (since, until time.Time, ok bool) {
 	n, ok := h.named[k]
-	ready := h.leaseSince.Add(ListLife + clockMargin)
+	ready := h.ready()
 	until = n.asOf.Add(ListLife)
 	if h.leaseUntil.Before(until) {
 		until = h.leaseUntil
@@ -120,10 +151,7 @@
 	if !ok || h.leaseSince.IsZero() || now.Before(ready) || !now.Before(until) {
 		return time.Time{}, time.Time{}, false
 	}
-	if ready.After(n.since) {
-		return ready, until, true
-	}
-	return n.since, until, true
+	return latest(ready, n.since), until, true
 }
 
 // Named returns the keys of which lists of the last ListLife name this VM as holder.
--- a/core/quota/loan.go
+++ b/core/quota/loan.go
@@ -4,9 +4,9 @@
 
 const (
 	// loanLife is how long a slot is lent at a time. The slots that a VM has borrowed when it fails can be used again after that.
-	loanLife = time.Second
+	loanLife = 800 * time.Millisecond
 	// LoanInterval is how often the holder of the main slot asks for the others.
-	LoanInterval = 300 * time.Millisecond
+	LoanInterval = 200 * time.Millisecond
 	// loanMargin is how much longer the lender counts a slot as lent than the borrower: the clocks of two VMs may run at rates that differ
 	// a little.
 	loanMargin = 10 * time.Millisecond
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -38,6 +38,8 @@
 	fleetMaxAge = time.Second
 	// freshReadInterval applies while this VM holds slots of quotas.
 	freshReadInterval = time.Second
+	// maxProofReads is how often a process tries to read from the store since when leases of its VM have been valid.
+	maxProofReads = 3
 	// startupReadInterval applies while the list names at most one VM: after a start it may lack most of them.
 	startupReadInterval = 800 * time.Millisecond
 	// rankDelay staggers the VMs that may act on a group, so that normally only one of them acts.
@@ -114,23 +116,27 @@
 	fleet       lead.Fleet
 	fleetReadAt time.Time // when the call that returned fleet was made
 
-	mu            sync.Mutex
-	groups        map[string]*groupState
-	epoch         uint64
-	recordsRead   bool // all records have been read at least once
-	lease         lead.Lease
-	leaseHeld     bool
-	leaseSince    time.Time // from when on the lease has been valid without a gap
-	onMembers     func(live []lead.Member, asOf time.Time)
-	needsFresh    func() bool // whether the list of VMs must be read every freshReadInterval
-	storeClock    lead.StoreClock
-	ownRowVersion uint64 // version of this VM's row; 0 if unknown
-	grants        lead.Grants
-	members       []lead.Member
-	listed        bool                     // members contains this VM; before, VMs that start together would all act on each group
-	watchers      map[string][]lead.Member // by group; cache derived from members
-	changed       chan struct{}            // closed and replaced when a record or the lease changes
-	stopping      bool
+	mu          sync.Mutex
+	groups      map[string]*groupState
+	epoch       uint64
+	recordsRead bool // all records have been read at least once
+	lease       lead.Lease
+	leaseHeld   bool
+	leaseSince  time.Time // from when on the lease has been valid without a gap
+	onMembers   func(present []lead.Member, asOf time.Time)
+	needsFresh  func() bool // whether the list of VMs must be read every freshReadInterval
+	// needsContinuity says whether rows of leases contain since when these have been valid without a gap.
+	needsContinuity func() bool
+	provenSince     time.Time // from when on a lease of this VM has been valid without a gap, also of an earlier process; zero if unknown
+	proofsLeft      int       // how often provenSince may still be read from the store
+	storeClock      lead.StoreClock
+	ownRowVersion   uint64 // version of this VM's row; 0 if unknown
+	grants          lead.Grants
+	members         []lead.Member
+	listed          bool                     // members contains this VM; before, VMs that start together would all act on each group
+	watchers        map[string][]lead.Member // by group; cache derived from members
+	changed         chan struct{}            // closed and replaced when a record or the lease changes
+	stopping        bool
 }
 
 // New returns the elector of the VM self. It does nothing until Start is called.
@@ -140,7 +146,7 @@
 	return &Elector{
 		self: self, name: self.Name(), rows: rows, agents: agents, promoter: promoter, pools: pools, paths: paths, view: view, clock: clock, log: log,
 		renewSignal: make(chan struct{}, 1), renewRequests: make(chan *renewRequest), groups: make(map[string]*groupState),
-		changed: make(chan struct{}), started: clock(),
+		changed: make(chan struct{}), started: clock(), proofsLeft: maxProofReads,
 	}
 }
 
@@ -175,20 +181,54 @@
 	})
 }
 
-// OnMembers makes the elector call f with each list of live VMs that it reads, and with a time as of which the list is valid. It reads
-// the list every freshReadInterval while needsFresh returns true. It must be called before Start.
-func (e *Elector) OnMembers(f func(live []lead.Member, asOf time.Time), needsFresh func() bool) {
-	e.onMembers, e.needsFresh = f, needsFresh
+// OnMembers makes the elector call f with each list of present VMs that it reads, and with a time as of which the list is valid. It reads
+// the list every freshReadInterval while needsFresh returns true, and keeps account of the continuity of leases while needsContinuity does.
+// It must be called before Start.
+func (e *Elector) OnMembers(f func(present []lead.Member, asOf time.Time), needsFresh, needsContinuity func() bool) {
+	e.onMembers, e.needsFresh, e.needsContinuity = f, needsFresh, needsContinuity
 }
 
-// LeaseSpan returns since when this VM's lease has been valid without a gap, and its end. Both are zero without a lease.
-func (e *Elector) LeaseSpan() (since, until time.Time) {
+// LeaseSpan returns since when this process has been present without a gap, its lease valid or ended less than lead.Linger ago, and until
+// when it will be. Proven is since when this VM, also with an earlier process, has been present without a gap; it is zero if that is not
+// known. All are zero without a lease.
+func (e *Elector) LeaseSpan() (since, until, proven time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.lease.Until().IsZero() {
-		return time.Time{}, time.Time{}
+		return time.Time{}, time.Time{}, time.Time{}
+	}
+	return e.leaseSince, e.lease.Until().Add(lead.Linger), e.provenSince
+}
+
+// proveContinuity reads from the store since when leases of this VM have been valid without a gap. A VM whose process was started again
+// within its lease then need not wait until other VMs have certainly seen the lease.
+func (e *Elector) proveContinuity(ctx context.Context) {
+	sent := e.clock()
+	e.mu.Lock()
+	due := e.proofsLeft > 0 && e.lease.Valid(sent) && e.provenSince.IsZero() && sent.Sub(e.leaseSince) < lead.LeaseDuration+lead.Linger
+	if due {
+		e.proofsLeft--
+	}
+	since := e.leaseSince
+	e.mu.Unlock()
+	if !due {
+		return
+	}
+	s, err := e.rows.List(ctx, memberTable)
+	if err != nil {
+		return
+	}
+	received := e.clock()
+	members := e.decodeMembers(s.Rows)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	i := slices.IndexFunc(members, func(m lead.Member) bool { return m.Name() == e.name })
+	if i < 0 || e.leaseSince != since || !e.lease.Valid(received) {
+		return
+	}
+	if from, ok := members[i].ValidSince(s.Clock); ok {
+		e.provenSince = received.Add(from - s.Clock)
 	}
-	return e.leaseSince, e.lease.Until()
 }
 
 // Wait waits until the elector has ended all that Start began. Call it when the context passed to Start has ended.
@@ -485,8 +525,8 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if now := e.clock(); !e.lease.Valid(now) {
-		e.leaseSince = now
+	if now := e.clock(); !now.Before(e.lease.Until().Add(lead.Linger)) {
+		e.leaseSince, e.provenSince = now, time.Time{}
 	}
 	e.lease.Renew(sent, epoch)
 	if !e.leaseHeld {
@@ -537,7 +577,10 @@
 	e.pools.SetMembers(fleet.Live(), fleet.Holders())
 	e.agents.SetAgents(agents)
 	if e.onMembers != nil {
-		e.onMembers(fleet.Live(), sent.Add(-maxAge))
+		e.onMembers(fleet.Present(), sent.Add(-maxAge))
+	}
+	if e.needsFresh != nil && e.needsFresh() {
+		e.proveContinuity(ctx)
 	}
 }
 
--- a/io/elect/grant.go
+++ b/io/elect/grant.go
@@ -149,7 +149,11 @@
 			}
 		}
 		e.ownRowVersion = row.Version
-		e.grants = e.grants.Union(lead.NewGrants(members))
+		stored := make([]string, 0, len(members))
+		for _, m := range members {
+			stored = append(stored, m.Name())
+		}
+		e.grants = e.grants.Union(lead.NewGrants(members).Confirm(stored, s.Clock))
 	}
 	return nil
 }
@@ -185,7 +189,11 @@
 	storeTime, _ := e.storeClock.UpperBound(now)
 	epoch, ownRowVersion := e.epoch, e.ownRowVersion
 	// The transaction may take effect even if its answer is lost, so its leases count as granted from now on.
-	e.grants = e.grants.With(renew, leave, storeTime+lead.LeaseDuration, e.storeClock.LowerBound())
+	continuity, linger := e.needsContinuity != nil && e.needsContinuity(), time.Duration(0)
+	if continuity {
+		linger = lead.Linger
+	}
+	e.grants = e.grants.WithKept(renew, leave, storeTime+lead.LeaseDuration, e.storeClock.LowerBound(), linger)
 	members := e.grants.Members()
 	e.mu.Unlock()
 	expect := []port.Row{{Table: memberTable, Key: e.name, Version: ownRowVersion}}
@@ -196,7 +204,7 @@
 	if len(members) == 0 {
 		remove = append(remove, port.Row{Table: memberTable, Key: e.name})
 	} else {
-		row, err := encodeMembers(e.name, members)
+		row, err := encodeMembers(e.name, members, continuity)
 		if err != nil {
 			return err
 		}
@@ -209,6 +217,11 @@
 	e.ownRowVersion = 0
 	if err == nil && len(put) > 0 {
 		e.ownRowVersion = s.Version
+		renewed := make([]string, 0, len(renew))
+		for _, m := range renew {
+			renewed = append(renewed, m.Name())
+		}
+		e.grants = e.grants.Confirm(renewed, s.Clock)
 	}
 	if err != nil && !errors.Is(err, port.ErrConflict) {
 		e.log.Event(event.StoreAnswerLost, zap.String("table", memberTable), zap.Int("leases", len(renew)), zap.Error(err))
--- a/io/elect/records.go
+++ b/io/elect/records.go
@@ -45,6 +45,9 @@
 	DataCentre string   `json:"data_centre,omitempty"`
 	Address    string   `json:"address,omitempty"`
 	Cores      float64  `json:"cores,omitempty"`
+	// SinceMs and ProvenMs are the continuity of the lease. They are written only where quotas need them.
+	SinceMs  int64 `json:"since_ms,omitempty"`
+	ProvenMs int64 `json:"proven_ms,omitempty"`
 }
 
 func encodeRecord(group string, r lead.Record) (port.Row, error) {
@@ -74,14 +77,18 @@
 	return group, r.WithPromotionOrdered(g.Ordered).WithVersion(row.Version), true, nil
 }
 
-// encodeMembers returns the row of a VM with the leases that it has requested.
-func encodeMembers(vm string, members []lead.Member) (port.Row, error) {
+// encodeMembers returns the row of a VM with the leases that it has requested, and with their continuity if that is set.
+func encodeMembers(vm string, members []lead.Member, continuity bool) (port.Row, error) {
 	var r memberRow
 	for _, m := range members {
-		r.VMs = append(r.VMs, memberEntry{
+		e := memberEntry{
 			Name: m.Name(), Epoch: m.Epoch(), UntilMs: m.Until().Milliseconds() + 1, Suspect: m.Suspected(),
 			DataCentre: m.DataCentre(), Address: m.Address(), Cores: m.Cores(),
-		})
+		}
+		if since, proven := m.Continuity(); continuity && proven > 0 {
+			e.SinceMs, e.ProvenMs = since.Milliseconds()+1, proven.Milliseconds()
+		}
+		r.VMs = append(r.VMs, e)
 	}
 	value, err := json.Marshal(r)
 	return port.Row{Table: memberTable, Key: vm, Value: value}, err
@@ -95,7 +102,8 @@
 	members := make([]lead.Member, 0, len(r.VMs))
 	for _, m := range r.VMs {
 		until := time.Duration(m.UntilMs) * time.Millisecond
-		members = append(members, lead.NewMember(m.Name, m.Epoch, until, m.Suspect).WithLocation(m.DataCentre, m.Address).WithCores(m.Cores))
+		member := lead.NewMember(m.Name, m.Epoch, until, m.Suspect).WithLocation(m.DataCentre, m.Address).WithCores(m.Cores)
+		members = append(members, member.WithContinuity(time.Duration(m.SinceMs)*time.Millisecond, time.Duration(m.ProvenMs)*time.Millisecond))
 	}
 	return members, nil
 }
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -34,8 +34,9 @@
 	maxTokens = 1_000_000
 )
 
-// Lease returns since when this VM's lease has been valid without a gap, and its end.
-type Lease func() (since, until time.Time)
+// Lease returns since when the lease of this process has been valid without a gap, its end, and since when leases of this VM have been
+// valid without a gap, zero if that is not known.
+type Lease func() (since, until, proven time.Time)
 
 // Config returns the configuration in force.
 type Config func() layout.Config
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -45,6 +45,13 @@
 	Address    string   `cbor:"3,keyasint,omitempty"`
 	Suspect    []string `cbor:"4,keyasint,omitempty"`
 	Cores      float64  `cbor:"5,keyasint,omitempty"`
+	Lingering  bool     `cbor:"6,keyasint,omitempty"`
+}
+
+func newFleetVM(m lead.Member, lingering bool) fleetVM {
+	return fleetVM{
+		Name: m.Name(), DataCentre: m.DataCentre(), Address: m.Address(), Suspect: m.Suspected(), Cores: m.Cores(), Lingering: lingering,
+	}
 }
 
 func newFleetReply(f lead.Fleet, err error, known uint64) fleetReply {
@@ -56,7 +63,10 @@
 	}
 	r := fleetReply{Holders: f.Holders()}
 	for _, m := range f.Live() {
-		r.VMs = append(r.VMs, fleetVM{Name: m.Name(), DataCentre: m.DataCentre(), Address: m.Address(), Suspect: m.Suspected(), Cores: m.Cores()})
+		r.VMs = append(r.VMs, newFleetVM(m, false))
+	}
+	for _, m := range f.Lingering() {
+		r.VMs = append(r.VMs, newFleetVM(m, true))
 	}
 	return r
 }
@@ -70,10 +80,16 @@
 		return known, nil
 	}
 	live := make([]lead.Member, 0, len(r.VMs))
+	var lingering []lead.Member
 	for _, v := range r.VMs {
-		live = append(live, lead.NewMember(v.Name, 0, 0, v.Suspect).WithLocation(v.DataCentre, v.Address).WithCores(v.Cores))
+		m := lead.NewMember(v.Name, 0, 0, v.Suspect).WithLocation(v.DataCentre, v.Address).WithCores(v.Cores)
+		if v.Lingering {
+			lingering = append(lingering, m)
+		} else {
+			live = append(live, m)
+		}
 	}
-	return lead.NewFleet(live, r.Holders), nil
+	return lead.NewFleet(live, r.Holders).WithLingering(lingering), nil
 }
 
 // changesCall asks for the changes of a table after a version, and waits up to Wait for them.
