core/lead, io/elect: agents know the continuity of leases that others renewed, and keep VMs that leave as present

A VM that left and came back through another agent would have been taken for present without a gap, though lists had lacked it. Change: agents take the continuity from all rows that they read; a VM that leaves stays present, without its lease, where quotas need it.

--- a/core/lead/agent.go
+++ b/core/lead/agent.go
@@ -96,10 +96,10 @@
 }
 
 // Merge returns one member for each VM from the rows of several agents. A VM that has seen an epoch uses no record from before
-// it, so the entry with the newest epoch wins. Of several such entries, the one with the latest lease end wins.
+// it, so the entry with the newest epoch wins. Of several such entries, the one that ends last wins.
 func Merge(members []Member) []Member {
 	slices.SortStableFunc(members, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(b.epoch, a.epoch), cmp.Compare(b.until, a.until))
+		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(b.epoch, a.epoch), cmp.Compare(b.PresentUntil(), a.PresentUntil()))
 	})
 	return slices.CompactFunc(members, func(a, b Member) bool { return a.name == b.name })
 }
@@ -111,13 +111,33 @@
 	return m
 }
 
+// WithLeft returns a copy of the member whose VM has given up its lease. It counts as present as long as if it had not.
+func (m Member) WithLeft() Member { return m.WithPresentUntil(m.PresentUntil()) }
+
+// WithPresentUntil returns a copy of the member whose VM has given up its lease and is present until a time on the store's clock.
+func (m Member) WithPresentUntil(until time.Duration) Member {
+	m.presentUntil, m.until = until, 0
+	return m
+}
+
+// Left reports whether the VM has given up its lease.
+func (m Member) Left() bool { return m.presentUntil != 0 }
+
+// PresentUntil returns the time on the store's clock until which the VM is present: Linger after the end of its lease.
+func (m Member) PresentUntil() time.Duration {
+	if m.Left() {
+		return m.presentUntil
+	}
+	return m.until + Linger
+}
+
 // Continuity returns the values of WithContinuity.
 func (m Member) Continuity() (since, provenUntil time.Duration) { return m.since, m.provenUntil }
 
 // ValidSince returns since when on the store's clock the VM has been present without a gap, its lease valid or ended less than Linger ago,
 // for a member that was read when the clock showed storeTime at most. It returns false if it is not known to have been present earlier.
 func (m Member) ValidSince(storeTime time.Duration) (time.Duration, bool) {
-	if storeTime >= m.provenUntil+Linger || storeTime >= m.until+Linger || m.since >= storeTime {
+	if storeTime >= m.provenUntil+Linger || storeTime >= m.PresentUntil() || m.since >= storeTime {
 		return 0, false
 	}
 	return m.since, true
@@ -127,7 +147,7 @@
 // has certainly expired, because each write replaces the whole row of entries. Grants is immutable.
 type Grants struct {
 	members   map[string]Member
-	confirmed map[string]Member // as the store is known to hold them
+	confirmed map[string]Member // entries of this and other agents that the store is known to have held
 }
 
 // NewGrants returns the grants read from a stored row.
@@ -145,11 +165,12 @@
 	return g.WithKept(renew, leave, until, storeTime, 0)
 }
 
-// WithKept returns the same as With, but keeps entries for linger after the end of their lease.
+// WithKept returns the same as With, but keeps entries for linger after the end of their lease. If linger is not 0, those of VMs that leave
+// are kept as such, so that a lease that is renewed soon after continues their presence.
 func (g Grants) WithKept(renew, leave []Member, until, storeTime, linger time.Duration) Grants {
 	next := make(map[string]Member, len(g.members)+len(renew))
 	for name, m := range g.members {
-		if m.until+maxClockDrift+linger > storeTime {
+		if m.until+maxClockDrift+linger > storeTime || m.Left() && m.presentUntil+maxClockDrift > storeTime {
 			next[name] = m
 		}
 	}
@@ -162,6 +183,10 @@
 		next[m.name] = m
 	}
 	for _, m := range leave {
+		if current, ok := next[m.name]; ok && linger > 0 {
+			next[m.name] = current.WithLeft()
+			continue
+		}
 		delete(next, m.name)
 	}
 	return Grants{members: next, confirmed: g.confirmed}
@@ -169,35 +194,66 @@
 
 // Confirm returns the grants after the store is known to hold the entries of names, at a time when its clock showed storeTime at most.
 func (g Grants) Confirm(names []string, storeTime time.Duration) Grants {
-	confirmed := make(map[string]Member, len(g.members))
+	var entries []Member
+	for _, name := range names {
+		if m, ok := g.members[name]; ok {
+			entries = append(entries, m)
+		}
+	}
+	return g.Observe(entries, storeTime)
+}
+
+// Observe returns the grants after entries, also of other agents, were read from the store when its clock showed storeTime at most. So the
+// continuity of a lease is known to an agent that has not renewed it before.
+func (g Grants) Observe(entries []Member, storeTime time.Duration) Grants {
+	confirmed := make(map[string]Member, len(g.confirmed)+len(entries))
 	for name, c := range g.confirmed {
-		if _, ok := g.members[name]; ok {
+		if c.PresentUntil() > storeTime {
 			confirmed[name] = c
 		}
 	}
-	for _, name := range names {
-		if m, ok := g.members[name]; ok {
-			if _, ok := m.ValidSince(storeTime); !ok {
-				m.since = storeTime
-			}
-			confirmed[name] = m
+	for _, m := range entries {
+		if m.PresentUntil() <= storeTime {
+			continue
+		}
+		if _, ok := m.ValidSince(storeTime); !ok {
+			m.since = storeTime
+		}
+		m.until, m.presentUntil = m.PresentUntil()-Linger, 0
+		// The VM was present at storeTime by either entry.
+		if c, ok := confirmed[m.name]; ok {
+			m.since, m.until = min(m.since, c.since), max(m.until, c.until)
 		}
+		confirmed[m.name] = m
 	}
 	return Grants{members: g.members, confirmed: confirmed}
 }
 
-// Union returns the grants of g and older. For a VM in both, the entry of g is kept, with the later of the two lease ends. What
-// the store is known to hold is taken from older.
+// PresentSince returns since when the VM name has been present without a gap according to any of the entries, which were read when the
+// store's clock showed storeTime at most. It returns false if it is not known to have been present earlier.
+func PresentSince(entries []Member, name string, storeTime time.Duration) (time.Duration, bool) {
+	since, found := storeTime, false
+	for _, m := range entries {
+		if from, ok := m.ValidSince(storeTime); ok && m.name == name && from < since {
+			since, found = from, true
+		}
+	}
+	return since, found
+}
+
+// Union returns the grants of g and older. For a VM in both, the entry of g is kept, with the later of the two lease ends.
 func (g Grants) Union(older Grants) Grants {
 	next := maps.Clone(older.members)
 	if next == nil {
 		next = make(map[string]Member)
 	}
 	for name, m := range g.members {
-		m.until = max(m.until, next[name].until)
+		if !m.Left() {
+			m.until = max(m.until, next[name].until)
+		}
 		next[name] = m
 	}
-	return Grants{members: next, confirmed: older.confirmed}
+	return Grants{members: next, confirmed: g.confirmed}
 }
 
 // Members returns the entries ordered by name.
@@ -213,5 +269,5 @@
 // such a change.
 func (g Grants) Urgent(m Member) bool {
 	granted, ok := g.members[m.name]
-	return !ok || granted.epoch != m.epoch || !slices.Equal(granted.suspected, m.suspected)
+	return !ok || granted.Left() || granted.epoch != m.epoch || !slices.Equal(granted.suspected, m.suspected)
 }
--- a/core/lead/fleet.go
+++ b/core/lead/fleet.go
@@ -25,24 +25,25 @@
 func FleetOf(members []Member, storeTime time.Duration) Fleet {
 	f := NewFleet(LiveMembers(members, storeTime), ConnectionHolders(members, storeTime))
 	var lingering []Member
-	for _, m := range LiveMembers(members, storeTime-Linger) {
-		if m.until <= storeTime {
+	for _, m := range members {
+		if m.until <= storeTime && m.PresentUntil() > storeTime {
 			lingering = append(lingering, m)
 		}
 	}
+	slices.SortFunc(lingering, func(a, b Member) int { return cmp.Compare(a.name, b.name) })
 	return f.WithLingering(lingering)
 }
 
-// WithLingering returns the fleet with the VMs whose lease has ended less than Linger ago.
+// WithLingering returns the fleet with the VMs that are present without a lease.
 func (f Fleet) WithLingering(lingering []Member) Fleet {
 	f.lingering = lingering
 	return f
 }
 
-// Lingering returns the VMs whose lease has ended less than Linger ago.
+// Lingering returns the VMs that are present without a lease.
 func (f Fleet) Lingering() []Member { return f.lingering }
 
-// Present returns the live VMs and those whose lease has ended less than Linger ago, ordered by name.
+// Present returns the live VMs and those that are present without a lease, ordered by name.
 func (f Fleet) Present() []Member {
 	all := slices.Concat(f.live, f.lingering)
 	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.name, b.name) })
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -116,6 +116,7 @@
 
 	// since and provenUntil say how long the lease has been valid without a gap; see ValidSince.
 	since, provenUntil time.Duration
+	presentUntil       time.Duration // of a VM that has left; see WithLeft
 }
 
 // NewMember returns the entry of a VM that has seen epoch and whose lease ends at until on the store's clock. Suspected lists
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -219,14 +219,13 @@
 		return
 	}
 	received := e.clock()
-	members := e.decodeMembers(s.Rows)
+	entries, _ := decodeAllMembers(s.Rows)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	i := slices.IndexFunc(members, func(m lead.Member) bool { return m.Name() == e.name })
-	if i < 0 || e.leaseSince != since || !e.lease.Valid(received) {
+	if e.leaseSince != since || !e.lease.Valid(received) {
 		return
 	}
-	if from, ok := members[i].ValidSince(s.Clock); ok {
+	if from, ok := lead.PresentSince(entries, e.name, s.Clock); ok {
 		e.provenSince = received.Add(from - s.Clock)
 	}
 }
@@ -599,6 +598,7 @@
 	members := e.decodeMembers(s.Rows)
 	e.mu.Lock()
 	e.recordStoreClock(sent, s)
+	e.observeLeases(s)
 	e.mu.Unlock()
 	e.fleet, e.fleetReadAt = lead.FleetOf(members, s.Clock), sent
 	return e.fleet, nil
--- a/io/elect/grant.go
+++ b/io/elect/grant.go
@@ -137,6 +137,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.recordStoreClock(sent, s)
+	e.observeLeases(s)
 	for _, row := range s.Rows {
 		if row.Key != e.name {
 			continue
@@ -149,11 +150,7 @@
 			}
 		}
 		e.ownRowVersion = row.Version
-		stored := make([]string, 0, len(members))
-		for _, m := range members {
-			stored = append(stored, m.Name())
-		}
-		e.grants = e.grants.Union(lead.NewGrants(members).Confirm(stored, s.Clock))
+		e.grants = e.grants.Union(lead.NewGrants(members))
 	}
 	return nil
 }
@@ -228,3 +225,11 @@
 	}
 	return err
 }
+
+// observeLeases records the continuity of the leases in all rows of memberTable, where that is needed. The caller holds mu.
+func (e *Elector) observeLeases(s port.Snapshot) {
+	if e.needsContinuity != nil && e.needsContinuity() {
+		entries, _ := decodeAllMembers(s.Rows)
+		e.grants = e.grants.Observe(entries, s.Clock)
+	}
+}
--- a/io/elect/records.go
+++ b/io/elect/records.go
@@ -48,6 +48,8 @@
 	// SinceMs and ProvenMs are the continuity of the lease. They are written only where quotas need them.
 	SinceMs  int64 `json:"since_ms,omitempty"`
 	ProvenMs int64 `json:"proven_ms,omitempty"`
+	// PresentMs is set for a VM that has given up its lease; see lead.Member.PresentUntil.
+	PresentMs int64 `json:"present_ms,omitempty"`
 }
 
 func encodeRecord(group string, r lead.Record) (port.Row, error) {
@@ -88,6 +90,9 @@
 		if since, proven := m.Continuity(); continuity && proven > 0 {
 			e.SinceMs, e.ProvenMs = since.Milliseconds()+1, proven.Milliseconds()
 		}
+		if m.Left() {
+			e.PresentMs = m.PresentUntil().Milliseconds() + 1
+		}
 		r.VMs = append(r.VMs, e)
 	}
 	value, err := json.Marshal(r)
@@ -103,7 +108,11 @@
 	for _, m := range r.VMs {
 		until := time.Duration(m.UntilMs) * time.Millisecond
 		member := lead.NewMember(m.Name, m.Epoch, until, m.Suspect).WithLocation(m.DataCentre, m.Address).WithCores(m.Cores)
-		members = append(members, member.WithContinuity(time.Duration(m.SinceMs)*time.Millisecond, time.Duration(m.ProvenMs)*time.Millisecond))
+		member = member.WithContinuity(time.Duration(m.SinceMs)*time.Millisecond, time.Duration(m.ProvenMs)*time.Millisecond)
+		if m.PresentMs > 0 {
+			member = member.WithPresentUntil(time.Duration(m.PresentMs) * time.Millisecond)
+		}
+		members = append(members, member)
 	}
 	return members, nil
 }
@@ -111,7 +120,12 @@
 // decodeMembers returns the members of all rows, one for each VM, and an error for each row that cannot be decoded. Such a row must
 // not hide the other VMs.
 func decodeMembers(rows []port.Row) (members []lead.Member, invalid []error) {
-	var all []lead.Member
+	all, invalid := decodeAllMembers(rows)
+	return lead.Merge(all), invalid
+}
+
+// decodeAllMembers returns the entries of all rows, of which a VM may have several, and an error for each row that cannot be decoded.
+func decodeAllMembers(rows []port.Row) (all []lead.Member, invalid []error) {
 	for _, row := range rows {
 		m, err := decodeMemberRow(row)
 		if err != nil {
@@ -120,5 +134,5 @@
 		}
 		all = append(all, m...)
 	}
-	return lead.Merge(all), invalid
+	return all, invalid
 }
