core/quota, io/grant: prove the continuity of a lease as soon as the configuration is known; test of loans

Measured: TestLoans; three planted faults that no test had found now fail it: both grant a lent slot, two VMs borrow it, and a new process forgets loans.

--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -145,6 +145,42 @@
 	})
 }
 
+// Guards against a slot that is granted by its holder and by a borrower at once, one that is lent to two VMs, and a new process that does
+// not know what the one before it has lent.
+func TestLoans(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(10000, 0)
+	k := NewKey(3, 2)
+	var h Holder
+	h.SetLease(now.Add(-time.Hour), now.Add(5*time.Second), time.Time{})
+	h.SetNamed([]Key{k, MainKey(3)}, now, now)
+	holds := func(h *Holder, at time.Time) bool {
+		_, ok := h.Term(k, at)
+		return ok
+	}
+	g.Expect(holds(&h, now)).To(gomega.BeTrue())
+	life, ok := h.Lend(k, "a", now)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(life).To(gomega.Equal(loanLife))
+	g.Expect(holds(&h, now.Add(loanLife))).To(gomega.BeFalse(), "the borrower's clock may be slow")
+	_, ok = h.Lend(k, "b", now.Add(loanLife))
+	g.Expect(ok).To(gomega.BeFalse())
+	_, ok = h.Lend(MainKey(3), "b", now)
+	g.Expect(ok).To(gomega.BeFalse())
+	term, ok := h.Term(k, now.Add(time.Second))
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(term).To(gomega.Equal(now.Add(loanLife+loanMargin)), "a new term, whose ledger is empty")
+	life, ok = h.Lend(k, "b", now.Add(4900*time.Millisecond))
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(life).To(gomega.Equal(100*time.Millisecond), "no longer than this VM holds it")
+
+	var restarted Holder
+	restarted.SetLease(now, now.Add(time.Minute), now.Add(-time.Hour))
+	restarted.SetNamed([]Key{k}, now, now)
+	g.Expect(holds(&restarted, now.Add(loanLife))).To(gomega.BeFalse())
+	g.Expect(holds(&restarted, now.Add(time.Second))).To(gomega.BeTrue())
+}
+
 // checkLimits fails the test if a workspace began more operations in some window than its limit.
 func checkLimits(t *testing.T, s *sim) {
 	t.Helper()
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -578,7 +578,7 @@
 	if e.onMembers != nil {
 		e.onMembers(fleet.Present(), sent.Add(-maxAge))
 	}
-	if e.needsFresh != nil && e.needsFresh() {
+	if e.needsFresh != nil && e.needsFresh() && e.needsContinuity() {
 		e.proveContinuity(ctx)
 	}
 }
--- a/io/grant/hold.go
+++ b/io/grant/hold.go
@@ -99,9 +99,9 @@
 	return d.holder.Holds(k, now)
 }
 
-// Holds reports whether this VM may hold slots now. It then needs a fresh list of live VMs.
+// Holds reports whether this VM may hold slots now, or once it knows its first configuration. It then needs a fresh list of VMs.
 func (d *Desk) Holds() bool {
-	if !d.Limited() {
+	if d.config().Version() != 0 && !d.Limited() {
 		return false
 	}
 	now := d.clock()
