--- a/core/quota/asker.go
+++ b/core/quota/asker.go
@@ -18,7 +18,7 @@
 	self       lead.Member
 	live       []string
 	candidates map[Key][]lead.Member
-	order      map[int][]int // by shard: the order in which this VM asks the slots
+	order      map[int][]int // by shard: the order in which this VM asks the portions
 	failed     map[string]time.Time
 	notHolder  map[candidate]time.Time
 }
@@ -75,41 +75,41 @@
 
 func identity(m lead.Member) string { return m.Name() + " " + m.Address() }
 
-// askOrder returns the order in which this VM asks the slots of a shard: the main one first, then those held in its data centre, and the
+// askOrder returns the order in which this VM asks the portions of a shard: the main one first, then those held in its data centre, and the
 // others in an order of its own.
 func (a *Asker) askOrder(keys []Key) []int {
 	names := make([]string, 0, len(keys))
 	byName := make(map[string]Key, len(keys))
 	for _, k := range keys {
-		if k.slot != mainSlot {
+		if k.portion != mainPortion {
 			names = append(names, k.String())
 			byName[k.String()] = k
 		}
 	}
-	order := []int{mainSlot}
+	order := []int{mainPortion}
 	var far []int
 	for _, name := range owner.Order(a.self.Name(), names) {
 		k := byName[name]
 		if c := a.candidates[k]; len(c) > 0 && c[0].DataCentre() == a.self.DataCentre() {
-			order = append(order, k.slot)
+			order = append(order, k.portion)
 		} else {
-			far = append(far, k.slot)
+			far = append(far, k.portion)
 		}
 	}
 	return append(order, far...)
 }
 
-// Next returns the slot of the workspace to ask next at now, and the address of the VM to ask. Asked has a bit for each slot that was
-// asked already, and w knows which slots have no tokens. It returns false if no slot is left.
-func (a *Asker) Next(workspace string, limit Limit, w *Wallet, asked uint, now time.Time) (slot int, address string, ok bool) {
-	for _, slot := range a.order[ShardOf(workspace)] {
-		if slot >= limit.Slots() || asked&(1<<uint(slot)) != 0 || !w.MayAsk(slot, now) {
+// Next returns the portion of the workspace to ask next at now, and the address of the VM to ask. Asked has a bit for each portion that was
+// asked already, and w knows which portions have no tokens. It returns false if no portion is left.
+func (a *Asker) Next(workspace string, limit Limit, w *Wallet, asked uint, now time.Time) (portion int, address string, ok bool) {
+	for _, portion := range a.order[ShardOf(workspace)] {
+		if portion >= limit.Portions() || asked&(1<<uint(portion)) != 0 || !w.MayAsk(portion, now) {
 			continue
 		}
-		key := KeyOf(workspace, slot)
+		key := KeyOf(workspace, portion)
 		for _, c := range a.candidates[key] {
 			if !now.Before(a.failed[c.Address()]) && !now.Before(a.notHolder[candidate{key, c.Address()}]) {
-				return slot, c.Address(), true
+				return portion, c.Address(), true
 			}
 		}
 	}
@@ -132,9 +132,9 @@
 	return !known
 }
 
-// NotHolder records that the VM at address does not hold the key of a slot.
-func (a *Asker) NotHolder(workspace string, slot int, address string, now time.Time) {
-	a.notHolder[candidate{KeyOf(workspace, slot), address}] = now.Add(notHolderDelay)
+// NotHolder records that the VM at address does not hold the key of a portion.
+func (a *Asker) NotHolder(workspace string, portion int, address string, now time.Time) {
+	a.notHolder[candidate{KeyOf(workspace, portion), address}] = now.Add(notHolderDelay)
 }
 
 // Sweep drops what does not matter any more.
--- a/core/quota/books.go
+++ b/core/quota/books.go
@@ -2,15 +2,15 @@
 
 import "time"
 
-// Books holds the ledgers of the slots that a VM holds. It is not safe for concurrent use.
+// Books holds the ledgers of the portions that a VM holds. It is not safe for concurrent use.
 type Books struct {
 	accounts map[account]*entry
 }
 
-// account names the ledger of a slot of a workspace.
+// account names the ledger of a portion of a workspace.
 type account struct {
 	workspace string
-	slot      int
+	portion   int
 }
 
 // entry is a ledger, and the term of the holder for which it counts.
@@ -22,37 +22,37 @@
 	lastAt  time.Time
 }
 
-// Ask is the need of tokens of one slot of a workspace.
+// Ask is the need of tokens of one portion of a workspace.
 type Ask struct {
 	Workspace string
-	Slot      int
+	Portion   int
 	Need      int // tokens for operations that wait
 	Spare     int // tokens for expected operations
 	// Life is how long tokens for operations that wait must be usable, counted from when they are asked for.
 	Life time.Duration
 }
 
-// Grant grants tokens to vm, for a slot that this VM has held since term, of a workspace with this limit. The holder of the main slot
-// grants those of the slots that it has borrowed too. A ledger of an earlier term is not used: another VM may have granted tokens since.
+// Grant grants tokens to vm, for a portion that this VM has held since term, of a workspace with this limit. The holder of the main portion
+// grants those of the portions that it has borrowed too. A ledger of an earlier term is not used: another VM may have granted tokens since.
 func (b *Books) Grant(a Ask, limit Limit, term time.Time, loans Loans, now time.Time, vm string) Grant {
 	if b.accounts == nil {
 		b.accounts = make(map[account]*entry)
 	}
-	key := account{a.Workspace, a.Slot}
+	key := account{a.Workspace, a.Portion}
 	e := b.accounts[key]
 	if e == nil || !e.term.Equal(term) {
-		e = &entry{ledger: NewLedger(limit, a.Slot, term), term: term}
+		e = &entry{ledger: NewLedger(limit, a.Portion, term), term: term}
 		b.accounts[key] = e
 	}
-	if a.Slot == mainSlot {
+	if a.Portion == mainPortion {
 		e.ledger.SetLoans(loans, now)
 	}
 	e.ledger.SetLimit(limit, now)
 	g := e.ledger.Grant(now, a.Need, a.Spare, a.Life)
-	if a.Slot == mainSlot {
-		for slot, loan := range loans {
+	if a.Portion == mainPortion {
+		for portion, loan := range loans {
 			if now.Before(loan.Until) {
-				g.Borrowed |= 1 << slot
+				g.Borrowed |= 1 << portion
 			}
 		}
 	}
@@ -72,14 +72,14 @@
 	}
 }
 
-// Account describes a slot that a VM holds.
+// Account describes a portion that a VM holds.
 type Account struct {
 	Workspace string
-	Slot      int
+	Portion   int
 	Limit     Limit
 	Used      float64 // used tokens that are not refilled yet
 	Usable    float64 // granted tokens that may still be used
-	Granted   int64   // since the VM has held the slot, or since the ledger was last dropped
+	Granted   int64   // since the VM has held the portion, or since the ledger was last dropped
 	LastVM    string  // that got tokens last
 	LastAt    time.Time
 }
@@ -90,7 +90,7 @@
 	for key, e := range b.accounts {
 		e.ledger.advance(now)
 		all = append(all, Account{
-			Workspace: key.workspace, Slot: key.slot, Limit: e.ledger.limit, Used: e.ledger.used, Usable: e.ledger.usable,
+			Workspace: key.workspace, Portion: key.portion, Limit: e.ledger.limit, Used: e.ledger.used, Usable: e.ledger.usable,
 			Granted: e.granted, LastVM: e.lastVM, LastAt: e.lastAt,
 		})
 	}
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -23,8 +23,8 @@
 )
 
 // Candidates returns the VMs that may hold a key, the holder first. For each key there is one fixed order of all VMs that could ever
-// live, and the holder is the first one that is live; Holder relies on that. Larger VMs come first. Of equal ones, each slot prefers
-// others, so that the slots of a workspace are seldom held by the same VM.
+// live, and the holder is the first one that is live; Holder relies on that. Larger VMs come first. Of equal ones, each portion prefers
+// others, so that the portions of a workspace are seldom held by the same VM.
 func Candidates(live []lead.Member, k Key) []lead.Member {
 	byName := make(map[string]lead.Member, len(live))
 	names := make([]string, 0, len(live))
@@ -36,7 +36,7 @@
 	}
 	order := owner.Order("quota/"+k.String(), names)
 	slices.SortStableFunc(order, func(a, b string) int {
-		return cmp.Or(cmp.Compare(byName[b].Cores(), byName[a].Cores()), cmp.Compare(colourDistance(a, k.slot), colourDistance(b, k.slot)))
+		return cmp.Or(cmp.Compare(byName[b].Cores(), byName[a].Cores()), cmp.Compare(colourDistance(a, k.portion), colourDistance(b, k.portion)))
 	})
 	var top []lead.Member
 	for _, name := range order[:min(len(order), maxCandidates)] {
@@ -45,9 +45,9 @@
 	return top
 }
 
-// colourDistance is 0 for the VMs that a slot prefers and 1 for the others.
-func colourDistance(vm string, slot int) int {
-	if int(xxhash.Sum64String(vm)%maxSlots) == slot {
+// colourDistance is 0 for the VMs that a portion prefers and 1 for the others.
+func colourDistance(vm string, portion int) int {
+	if int(xxhash.Sum64String(vm)%maxPortions) == portion {
 		return 0
 	}
 	return 1
@@ -162,6 +162,6 @@
 			keys = append(keys, k)
 		}
 	}
-	slices.SortFunc(keys, func(a, b Key) int { return cmp.Or(cmp.Compare(a.shard, b.shard), cmp.Compare(a.slot, b.slot)) })
+	slices.SortFunc(keys, func(a, b Key) int { return cmp.Or(cmp.Compare(a.shard, b.shard), cmp.Compare(a.portion, b.portion)) })
 	return keys
 }
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -30,17 +30,17 @@
 	end time.Time
 }
 
-// Ledger is the account of a slot of a workspace at its holder, and of the slots that the holder has borrowed. A token counts as usable
+// Ledger is the account of a portion of a workspace at its holder, and of the portions that the holder has borrowed. A token counts as usable
 // from when it is granted until its end, and as used at its end. Used tokens are worked off at the rate of the limit. A token is granted
 // only if usable and used ones together stay within the burst. A window of length d then holds at most rate x d + burst uses, whenever the
 // tokens are used before their ends. It is not safe for concurrent use.
 //
-// A slot that comes or goes brings or takes its part of the burst along as tokens that are usable until MaxHold later. So the sum of usable
+// A portion that comes or goes brings or takes its part of the burst along as tokens that are usable until MaxHold later. So the sum of usable
 // and used tokens over all ledgers of a workspace falls only by the rate of the limit, and the bound holds for all ledgers together.
 type Ledger struct {
 	whole   Limit // of the workspace
-	limit   Limit // of the slots that count here
-	parts   [maxSlots]part
+	limit   Limit // of the portions that count here
+	parts   [maxPortions]part
 	used    float64
 	at      time.Time // the time of used
 	holds   []hold    // in the order of their ends
@@ -48,83 +48,83 @@
 	waiting float64   // tokens that were refused lately and will be asked for again
 }
 
-// part says whether a slot counts in a ledger.
+// part says whether a portion counts in a ledger.
 type part struct {
 	in   bool
-	loan Loan // zero for the slot that the holder holds itself
+	loan Loan // zero for the portion that the holder holds itself
 }
 
-// Loan is the time for which the holder of the main slot has borrowed another slot.
+// Loan is the time for which the holder of the main portion has borrowed another portion.
 type Loan struct {
 	Since, Until time.Time
 }
 
-// Loans holds the loans of the slots of a shard, by slot.
-type Loans [maxSlots]Loan
+// Loans holds the loans of the portions of a shard, by portion.
+type Loans [maxPortions]Loan
 
-// NewLedger returns the ledger of a holder of a slot that took over at start. The holder before it may have granted the whole burst until
+// NewLedger returns the ledger of a holder of a portion that took over at start. The holder before it may have granted the whole burst until
 // then.
-func NewLedger(whole Limit, slot int, start time.Time) *Ledger {
+func NewLedger(whole Limit, portion int, start time.Time) *Ledger {
 	l := &Ledger{whole: whole, at: start}
-	if slot >= 0 && slot < maxSlots {
-		l.parts[slot].in = true
+	if portion >= 0 && portion < maxPortions {
+		l.parts[portion].in = true
 	}
 	l.setLimit()
 	l.hold(l.limit.burst, start.Add(MaxHold))
 	return l
 }
 
-// setLimit adds up the limit of the slots that count here.
+// setLimit adds up the limit of the portions that count here.
 func (l *Ledger) setLimit() {
 	l.limit = Limit{version: l.whole.version}
-	for slot, p := range l.parts {
+	for portion, p := range l.parts {
 		if p.in {
-			share := l.whole.Slot(slot)
+			share := l.whole.Portion(portion)
 			l.limit.rate += share.rate
 			l.limit.burst += share.burst
 		}
 	}
 }
 
-// SetLoans sets the slots that the holder has borrowed.
+// SetLoans sets the portions that the holder has borrowed.
 func (l *Ledger) SetLoans(loans Loans, now time.Time) {
-	for slot := range l.parts {
-		if p := &l.parts[slot]; p.in && !p.loan.Since.IsZero() && p.loan.Since.Equal(loans[slot].Since) {
-			p.loan = loans[slot]
+	for portion := range l.parts {
+		if p := &l.parts[portion]; p.in && !p.loan.Since.IsZero() && p.loan.Since.Equal(loans[portion].Since) {
+			p.loan = loans[portion]
 		}
 	}
-	for slot := l.nextEnd(now); slot >= 0; slot = l.nextEnd(now) {
-		l.removeSlot(slot)
+	for portion := l.nextEnd(now); portion >= 0; portion = l.nextEnd(now) {
+		l.removePortion(portion)
 	}
-	for slot, loan := range loans {
-		if !l.parts[slot].in && now.Before(loan.Until) {
-			l.addSlot(slot, loan)
+	for portion, loan := range loans {
+		if !l.parts[portion].in && now.Before(loan.Until) {
+			l.addPortion(portion, loan)
 		}
 	}
 }
 
-// nextEnd returns the slot whose loan ended first, or -1 if none has ended at now.
+// nextEnd returns the portion whose loan ended first, or -1 if none has ended at now.
 func (l *Ledger) nextEnd(now time.Time) int {
 	first := -1
-	for slot, p := range l.parts {
+	for portion, p := range l.parts {
 		if p.in && !p.loan.Until.IsZero() && !now.Before(p.loan.Until) && (first < 0 || p.loan.Until.Before(l.parts[first].loan.Until)) {
-			first = slot
+			first = portion
 		}
 	}
 	return first
 }
 
-func (l *Ledger) addSlot(slot int, loan Loan) {
+func (l *Ledger) addPortion(portion int, loan Loan) {
 	l.advance(loan.Since)
-	l.parts[slot] = part{in: true, loan: loan}
+	l.parts[portion] = part{in: true, loan: loan}
 	l.setLimit()
-	l.hold(l.whole.Slot(slot).burst, l.at.Add(MaxHold))
+	l.hold(l.whole.Portion(portion).burst, l.at.Add(MaxHold))
 }
 
-func (l *Ledger) removeSlot(slot int) {
-	l.advance(l.parts[slot].loan.Until)
+func (l *Ledger) removePortion(portion int) {
+	l.advance(l.parts[portion].loan.Until)
 	before := l.limit.burst
-	l.parts[slot] = part{}
+	l.parts[portion] = part{}
 	l.setLimit()
 	if before <= 0 {
 		return
@@ -179,9 +179,9 @@
 	// Spare tokens may be used for SpareLife, counted in the same way.
 	Spare     int
 	SpareLife time.Duration
-	// Retry is how long the VM is not to ask again for this workspace and slot. It is 0 if all tokens needed were granted.
+	// Retry is how long the VM is not to ask again for this workspace and portion. It is 0 if all tokens needed were granted.
 	Retry time.Duration
-	// Borrowed has a bit for each other slot of which tokens were granted too. It is of no use to ask for them elsewhere.
+	// Borrowed has a bit for each other portion of which tokens were granted too. It is of no use to ask for them elsewhere.
 	Borrowed uint
 }
 
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -1,6 +1,6 @@
 // Package quota decides how many operations a workspace may begin, so that its limit holds over all VMs.
 //
-// The limit of a workspace is cut into a few fixed parts, the slots. Each slot is held by one VM, its holder, which has a Ledger for it.
+// The limit of a workspace is cut into a few fixed parts, the portions. Each portion is held by one VM, its holder, which has a Ledger for it.
 // A VM whose callers begin operations gets tokens for them from a holder. Tokens end soon. Since each Ledger keeps within its part, the
 // parts need no agreement with each other, and the loss of a holder costs its part only.
 package quota
@@ -13,11 +13,11 @@
 )
 
 const (
-	// maxSlots is how many slots a workspace has at most. A VM that fails takes the part of its slots with it until they have a new
+	// maxPortions is how many portions a workspace has at most. A VM that fails takes the part of its portions with it until they have a new
 	// holder.
-	maxSlots = 4
-	// mainSlot is the slot whose holder borrows the others.
-	mainSlot = 0
+	maxPortions = 4
+	// mainPortion is the portion whose holder borrows the others.
+	mainPortion = 0
 	// shards is the number of groups of workspaces that have the same holders. It bounds the number of holders that a VM calls.
 	shards = 8
 )
@@ -44,38 +44,38 @@
 // Version returns the version of the configuration that sets the limit.
 func (l Limit) Version() uint64 { return l.version }
 
-// Slots returns the number of slots of the workspace. Each of them has a burst of at least 1.
-func (l Limit) Slots() int { return int(min(max(math.Floor(l.burst), 1), maxSlots)) }
+// Portions returns the number of portions of the workspace. Each of them has a burst of at least 1.
+func (l Limit) Portions() int { return int(min(max(math.Floor(l.burst), 1), maxPortions)) }
 
-// Slot returns the part of the limit that belongs to a slot. The bursts of all slots but the first are whole numbers, and the rate is
-// divided in the same proportion. The parts add up to the limit. A slot that the workspace does not have gets nothing.
-func (l Limit) Slot(slot int) Limit {
-	n := l.Slots()
-	if slot < 0 || slot >= n {
+// Portion returns the part of the limit that belongs to a portion. The bursts of all portions but the first are whole numbers, and the rate is
+// divided in the same proportion. The parts add up to the limit. A portion that the workspace does not have gets nothing.
+func (l Limit) Portion(portion int) Limit {
+	n := l.Portions()
+	if portion < 0 || portion >= n {
 		return Limit{version: l.version}
 	}
 	whole := int(l.burst)
 	part := float64(whole / n)
-	if slot < whole%n {
+	if portion < whole%n {
 		part++
 	}
-	if slot == 0 {
+	if portion == 0 {
 		part += l.burst - float64(whole)
 	}
 	return Limit{rate: l.rate * part / l.burst, burst: part, version: l.version}
 }
 
-// Key names the slots that are held together: one slot of all workspaces of a shard.
+// Key names the portions that are held together: one portion of all workspaces of a shard.
 type Key struct {
-	shard, slot int
+	shard, portion int
 }
 
 // NewKey returns a key.
-func NewKey(shard, slot int) Key { return Key{shard: shard, slot: slot} }
+func NewKey(shard, portion int) Key { return Key{shard: shard, portion: portion} }
 
-// KeyOf returns the key of a slot of a workspace.
-func KeyOf(workspace string, slot int) Key {
-	return Key{shard: ShardOf(workspace), slot: slot}
+// KeyOf returns the key of a portion of a workspace.
+func KeyOf(workspace string, portion int) Key {
+	return Key{shard: ShardOf(workspace), portion: portion}
 }
 
 // ShardOf returns the shard of a workspace.
@@ -83,20 +83,20 @@
 
 // Keys returns all keys.
 func Keys() []Key {
-	all := make([]Key, 0, shards*maxSlots)
+	all := make([]Key, 0, shards*maxPortions)
 	for shard := range shards {
-		for slot := range maxSlots {
-			all = append(all, Key{shard: shard, slot: slot})
+		for portion := range maxPortions {
+			all = append(all, Key{shard: shard, portion: portion})
 		}
 	}
 	return all
 }
 
-// Slot returns the slot.
-func (k Key) Slot() int { return k.slot }
+// Portion returns the portion.
+func (k Key) Portion() int { return k.portion }
 
 // Shard returns the shard of the workspaces.
 func (k Key) Shard() int { return k.shard }
 
 // String returns the key for logs.
-func (k Key) String() string { return strconv.Itoa(k.shard) + "/" + strconv.Itoa(k.slot) }
+func (k Key) String() string { return strconv.Itoa(k.shard) + "/" + strconv.Itoa(k.portion) }
--- a/core/quota/loan.go
+++ b/core/quota/loan.go
@@ -3,29 +3,29 @@
 import "time"
 
 const (
-	// loanLife is how long a slot is lent at a time. The slots that a VM has borrowed when it fails can be used again after that.
+	// loanLife is how long a portion is lent at a time. The portions that a VM has borrowed when it fails can be used again after that.
 	loanLife = 800 * time.Millisecond
-	// LoanInterval is how often the holder of the main slot asks for the others.
+	// LoanInterval is how often the holder of the main portion asks for the others.
 	LoanInterval = 200 * time.Millisecond
-	// loanMargin is how much longer the lender counts a slot as lent than the borrower: the clocks of two VMs may run at rates that differ
+	// loanMargin is how much longer the lender counts a portion as lent than the borrower: the clocks of two VMs may run at rates that differ
 	// a little.
 	loanMargin = 10 * time.Millisecond
 	// never is longer than a process runs.
 	never = 100 * 365 * 24 * time.Hour
 )
 
-// lent is a slot that this VM has lent.
+// lent is a portion that this VM has lent.
 type lent struct {
 	to    string
 	until time.Time
 }
 
-// Lend lends a key to the VM that holds the main slot of the shard. It returns for how long from now on, and false if this VM does not hold
+// Lend lends a key to the VM that holds the main portion of the shard. It returns for how long from now on, and false if this VM does not hold
 // the key or has lent it to another VM. While a key is lent, this VM does not hold it; its next term begins when the loan ends.
 func (h *Holder) Lend(k Key, to string, now time.Time) (time.Duration, bool) {
 	_, end, ok := h.termOf(k, now)
 	current := h.lent[k]
-	if !ok || k.slot == mainSlot || current.to != to && now.Before(current.until) {
+	if !ok || k.portion == mainPortion || current.to != to && now.Before(current.until) {
 		return 0, false
 	}
 	if e := now.Add(loanLife); e.Before(end) {
@@ -42,7 +42,7 @@
 	return end.Sub(now), true
 }
 
-// Borrower keeps the slots that this VM has borrowed as the holder of main slots. It is not safe for concurrent use.
+// Borrower keeps the portions that this VM has borrowed as the holder of main portions. It is not safe for concurrent use.
 type Borrower struct {
 	loans map[int]*Loans
 }
@@ -57,7 +57,7 @@
 		all = &Loans{}
 		b.loans[k.shard] = all
 	}
-	loan := &all[k.slot]
+	loan := &all[k.portion]
 	if !now.Before(loan.Until) {
 		loan.Since = now
 	}
@@ -66,7 +66,7 @@
 	}
 }
 
-// Loans returns the loans of the slots of a shard.
+// Loans returns the loans of the portions of a shard.
 func (b *Borrower) Loans(shard int) Loans {
 	if all := b.loans[shard]; all != nil {
 		return *all
@@ -74,30 +74,30 @@
 	return Loans{}
 }
 
-// AllSlots returns the loans of a VM that has held all slots of a shard since start and has no other VMs.
-func AllSlots(start time.Time) Loans {
+// AllPortions returns the loans of a VM that has held all portions of a shard since start and has no other VMs.
+func AllPortions(start time.Time) Loans {
 	var l Loans
-	for slot := range l {
-		if slot != mainSlot {
-			l[slot] = Loan{Since: start, Until: start.Add(never)}
+	for portion := range l {
+		if portion != mainPortion {
+			l[portion] = Loan{Since: start, Until: start.Add(never)}
 		}
 	}
 	return l
 }
 
-// Wanted returns the keys that the holder of the main slot of a shard borrows.
+// Wanted returns the keys that the holder of the main portion of a shard borrows.
 func Wanted(shard int) []Key {
 	var keys []Key
-	for slot := range maxSlots {
-		if slot != mainSlot {
-			keys = append(keys, Key{shard: shard, slot: slot})
+	for portion := range maxPortions {
+		if portion != mainPortion {
+			keys = append(keys, Key{shard: shard, portion: portion})
 		}
 	}
 	return keys
 }
 
-// MainKey returns the key of the main slot of a shard.
-func MainKey(shard int) Key { return Key{shard: shard, slot: mainSlot} }
+// MainKey returns the key of the main portion of a shard.
+func MainKey(shard int) Key { return Key{shard: shard, portion: mainPortion} }
 
 // Shards returns the number of shards.
 func Shards() int { return shards }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -16,15 +16,15 @@
 const warmUp = 15 * time.Second
 
 // Guards against parts of a limit that add up to more or less than the limit.
-func TestSlotsAddUp(t *testing.T) {
+func TestPortionsAddUp(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for _, l := range []Limit{NewLimit(164, 164, 1), NewLimit(5, 5, 1), NewLimit(1, 0.5, 1), NewLimit(7.5, 9.5, 1), NewLimit(3, 3, 1)} {
 		rate, burst := 0.0, 0.0
-		for i := range maxSlots {
-			rate += l.Slot(i).Rate()
-			burst += l.Slot(i).Burst()
-			if i < l.Slots() {
-				g.Expect(l.Slot(i).Burst()).To(gomega.BeNumerically(">=", 1))
+		for i := range maxPortions {
+			rate += l.Portion(i).Rate()
+			burst += l.Portion(i).Burst()
+			if i < l.Portions() {
+				g.Expect(l.Portion(i).Burst()).To(gomega.BeNumerically(">=", 1))
 			}
 		}
 		g.Expect(rate).To(gomega.BeNumerically("~", l.Rate(), 1e-9))
@@ -39,8 +39,8 @@
 		limit := NewLimit(rapid.Float64Range(0.5, 200).Draw(t, "rate"), rapid.Float64Range(1, 200).Draw(t, "burst"), 1)
 		now := time.Unix(1000, 0)
 		start := now
-		l := NewLedger(limit, mainSlot, now)
-		limit = limit.Slot(mainSlot)
+		l := NewLedger(limit, mainPortion, now)
+		limit = limit.Portion(mainPortion)
 		type use struct {
 			at time.Time
 			n  float64
@@ -81,7 +81,7 @@
 func TestChangedLimit(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Unix(1000, 0)
-	l := NewLedger(NewLimit(10, 10, 1), mainSlot, now.Add(-time.Minute))
+	l := NewLedger(NewLimit(10, 10, 1), mainPortion, now.Add(-time.Minute))
 	loans := Loans{{}, {now.Add(-time.Minute), now.Add(time.Minute)}, {now.Add(-time.Minute), now.Add(time.Minute)}, {now.Add(-time.Minute), now.Add(time.Minute)}}
 	l.SetLoans(loans, now)
 	l.SetLimit(NewLimit(2, 2, 2), now)
@@ -145,7 +145,7 @@
 	})
 }
 
-// Guards against a slot that is granted by its holder and by a borrower at once, one that is lent to two VMs, and a new process that does
+// Guards against a portion that is granted by its holder and by a borrower at once, one that is lent to two VMs, and a new process that does
 // not know what the one before it has lent.
 func TestLoans(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -362,7 +362,7 @@
 	}
 }
 
-// Guards against a burst for free when all VMs are killed and start again at once, and against slots that stay without a holder.
+// Guards against a burst for free when all VMs are killed and start again at once, and against portions that stay without a holder.
 func TestAllKilled(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newSim(3, 20, 4)
@@ -386,7 +386,7 @@
 }
 
 // Guards against a cut-off data centre, or the others, that admit more than the limit together, and against a cut that stops one of the
-// sides: each side goes on with the slots that it holds.
+// sides: each side goes on with the portions that it holds.
 func TestDataCentreCutOff(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newSim(5, 40, 4)
@@ -412,7 +412,7 @@
 	t.Logf("%.3f of the central bucket in the 4 s after the cut, %.3f in the 20 s", ratio(s, from, from.Add(4*time.Second)), ratio(s, from, end))
 }
 
-// Guards against holders that change although nobody joined or left, and slots of a workspace that are all held by one VM.
+// Guards against holders that change although nobody joined or left, and portions of a workspace that are all held by one VM.
 func TestCandidates(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var live []lead.Member
@@ -431,10 +431,10 @@
 		g.Expect(c[0].Cores()).To(gomega.Equal(0.8), "large VMs hold keys")
 		without := Candidates(append(live[:40:40], live[41:]...), k)
 		g.Expect(without[0].Name()).To(gomega.Equal(c[0].Name()))
-		if k.slot == 0 {
+		if k.portion == 0 {
 			holders := make(map[string]bool)
-			for slot := range maxSlots {
-				holders[Candidates(live, Key{k.shard, slot})[0].Name()] = true
+			for portion := range maxPortions {
+				holders[Candidates(live, Key{k.shard, portion})[0].Name()] = true
 			}
 			if len(holders) >= 3 {
 				several++
@@ -442,5 +442,5 @@
 		}
 	}
 	g.Expect(several).To(gomega.BeNumerically(">=", shards*3/4))
-	g.Expect(math.Abs(float64(len(Keys()) - shards*maxSlots))).To(gomega.BeZero())
+	g.Expect(math.Abs(float64(len(Keys()) - shards*maxPortions))).To(gomega.BeZero())
 }
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -85,9 +85,9 @@
 }
 
 type simWaiter struct {
-	ws   *simWorkspace
-	slot int
-	done func(kind int, end time.Time)
+	ws      *simWorkspace
+	portion int
+	done    func(kind int, end time.Time)
 }
 
 const (
@@ -266,7 +266,7 @@
 	})
 }
 
-// borrow asks for the slots of the shards whose main slot v holds.
+// borrow asks for the portions of the shards whose main portion v holds.
 func (s *sim) borrow(v *simVM) {
 	s.after(LoanInterval, v, func() { s.borrow(v) })
 	v.holder.SetLease(v.leaseSince, v.leaseUntil, v.provenSince)
@@ -324,14 +324,14 @@
 	if !s.now.Before(deadline) {
 		return
 	}
-	slot, address, ok := v.asker.Next(ws.name, ws.limit, v.wallet(ws.name), asked, s.now)
+	portion, address, ok := v.asker.Next(ws.name, ws.limit, v.wallet(ws.name), asked, s.now)
 	if !ok {
-		if next := v.wallet(ws.name).NextAsk(ws.limit.Slots()); next.After(s.now) && next.Before(deadline.Add(simWait-simAdmitTimeout)) {
+		if next := v.wallet(ws.name).NextAsk(ws.limit.Portions()); next.After(s.now) && next.Before(deadline.Add(simWait-simAdmitTimeout)) {
 			s.after(next.Sub(s.now), v, func() { s.admit(v, ws, 0, deadline) })
 		}
 		return
 	}
-	s.ask(v, address, simWaiter{ws, slot, func(kind int, end time.Time) {
+	s.ask(v, address, simWaiter{ws, portion, func(kind int, end time.Time) {
 		switch kind {
 		case simGranted:
 			if s.now.Before(end) {
@@ -340,7 +340,7 @@
 			}
 			s.expired++
 		case simRefused:
-			asked |= 1 << uint(slot)
+			asked |= 1 << uint(portion)
 		}
 		if v.wallet(ws.name).Take(s.now) {
 			ws.use(s.now)
@@ -375,10 +375,10 @@
 	var asks []Ask
 	var groups [][]simWaiter
 	for _, w := range pending {
-		i := slices.IndexFunc(asks, func(a Ask) bool { return a.Workspace == w.ws.name && a.Slot == w.slot })
+		i := slices.IndexFunc(asks, func(a Ask) bool { return a.Workspace == w.ws.name && a.Portion == w.portion })
 		if i < 0 {
 			i = len(asks)
-			asks = append(asks, Ask{Workspace: w.ws.name, Slot: w.slot, Spare: v.wallet(w.ws.name).Spare(s.now), Life: l.replies.Life()})
+			asks = append(asks, Ask{Workspace: w.ws.name, Portion: w.portion, Spare: v.wallet(w.ws.name).Spare(s.now), Life: l.replies.Life()})
 			groups = append(groups, nil)
 		}
 		asks[i].Need++
@@ -420,12 +420,12 @@
 	})
 }
 
-// grant returns the grants of the VM v, nil for the slots that it does not hold.
+// grant returns the grants of the VM v, nil for the portions that it does not hold.
 func (s *sim) grant(v, to *simVM, asks []Ask, groups [][]simWaiter) []*Grant {
 	all := make([]*Grant, len(asks))
 	v.holder.SetLease(v.leaseSince, v.leaseUntil, v.provenSince)
 	for i, a := range asks {
-		if term, ok := v.holder.Term(KeyOf(a.Workspace, a.Slot), s.now); ok {
+		if term, ok := v.holder.Term(KeyOf(a.Workspace, a.Portion), s.now); ok {
 			g := v.books.Grant(a, groups[i][0].ws.limit, term, v.borrower.Loans(ShardOf(a.Workspace)), s.now, to.member.Name())
 			all[i] = &g
 		}
@@ -439,17 +439,17 @@
 
 func (s *sim) settle(v *simVM, address string, groups [][]simWaiter, grants []*Grant, sent time.Time) {
 	for i, group := range groups {
-		ws, slot := group[0].ws, group[0].slot
+		ws, portion := group[0].ws, group[0].portion
 		g := grants[i]
 		if g == nil {
-			v.asker.NotHolder(ws.name, slot, address, s.now)
+			v.asker.NotHolder(ws.name, portion, address, s.now)
 			for _, w := range group {
 				w.done(simNotHolder, time.Time{})
 			}
 			continue
 		}
 		v.wallet(ws.name).Add(g.Spare, sent.Add(g.SpareLife))
-		v.wallet(ws.name).RecordRefusal(slot, *g, s.now)
+		v.wallet(ws.name).RecordRefusal(portion, *g, s.now)
 		for j, w := range group {
 			if j < g.Tokens {
 				w.done(simGranted, sent.Add(g.Life))
--- a/core/quota/wallet.go
+++ b/core/quota/wallet.go
@@ -12,13 +12,13 @@
 	spareHorizon = 250 * time.Millisecond
 )
 
-// Wallet is what a VM has and knows of a workspace whose callers it serves: its spare tokens, the demand, and which slots have refused
+// Wallet is what a VM has and knows of a workspace whose callers it serves: its spare tokens, the demand, and which portions have refused
 // tokens. It is not safe for concurrent use.
 type Wallet struct {
 	spares  []hold
-	refused [maxSlots]time.Time // until when a slot is not asked
-	demand  float64             // operations per second
-	seen    time.Time           // the time of demand
+	refused [maxPortions]time.Time // until when a portion is not asked
+	demand  float64                // operations per second
+	seen    time.Time              // the time of demand
 }
 
 // Arrived records an operation that a caller asks for at now.
@@ -65,22 +65,22 @@
 	return max(int(w.demandAt(now)*spareHorizon.Seconds())-n, 0)
 }
 
-// RecordRefusal records that a slot, and those of which it granted tokens too, have no tokens for the time in g.
-func (w *Wallet) RecordRefusal(slot int, g Grant, now time.Time) {
+// RecordRefusal records that a portion, and those of which it granted tokens too, have no tokens for the time in g.
+func (w *Wallet) RecordRefusal(portion int, g Grant, now time.Time) {
 	if g.Retry <= 0 {
 		return
 	}
 	for s := range w.refused {
-		if s == slot || g.Borrowed&(1<<s) != 0 {
+		if s == portion || g.Borrowed&(1<<s) != 0 {
 			w.refused[s] = now.Add(g.Retry)
 		}
 	}
 }
 
-// NextAsk returns when a slot may have tokens again, the earliest of the first n slots.
+// NextAsk returns when a portion may have tokens again, the earliest of the first n portions.
 func (w *Wallet) NextAsk(n int) time.Time {
 	first := w.refused[0]
-	for _, t := range w.refused[1:min(n, maxSlots)] {
+	for _, t := range w.refused[1:min(n, maxPortions)] {
 		if t.Before(first) {
 			first = t
 		}
@@ -88,8 +88,8 @@
 	return first
 }
 
-// MayAsk reports whether a slot may have tokens at now.
-func (w *Wallet) MayAsk(slot int, now time.Time) bool { return !now.Before(w.refused[slot]) }
+// MayAsk reports whether a portion may have tokens at now.
+func (w *Wallet) MayAsk(portion int, now time.Time) bool { return !now.Before(w.refused[portion]) }
 
 // Idle reports whether the wallet can be dropped at now: it has no tokens and has not been used for some demandPeriods.
 func (w *Wallet) Idle(now time.Time) bool {
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -36,7 +36,7 @@
 	suspectReadInterval = 100 * time.Millisecond
 	// fleetMaxAge is how old the list of VMs may be while no primary is suspected.
 	fleetMaxAge = time.Second
-	// freshReadInterval applies while this VM holds slots of quotas.
+	// freshReadInterval applies while this VM holds portions of quotas.
 	freshReadInterval = time.Second
 	// maxProofReads is how often a process tries to read from the store since when leases of its VM have been valid.
 	maxProofReads = 3
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -1,5 +1,5 @@
 // Package grant limits the operations of workspaces over all VMs. It gets tokens for the operations of this VM's callers from the VMs
-// that hold the slots of the workspaces, and grants tokens for the slots that this VM holds. The decisions are those of core/quota.
+// that hold the portions of the workspaces, and grants tokens for the portions that this VM holds. The decisions are those of core/quota.
 package grant
 
 import (
@@ -22,7 +22,7 @@
 
 const (
 	// admitTimeout bounds the time in which an operation gets a token or is refused, and maxWait the part of it in which the operation
-	// waits for the refill of a slot that has no token left. callTimeout bounds the wait for the reply of one VM.
+	// waits for the refill of a portion that has no token left. callTimeout bounds the wait for the reply of one VM.
 	admitTimeout = 250 * time.Millisecond
 	maxWait      = 150 * time.Millisecond
 	callTimeout  = 100 * time.Millisecond
@@ -41,7 +41,7 @@
 // Config returns the configuration in force.
 type Config func() layout.Config
 
-// Desk admits the operations of this VM's callers, and grants tokens to all VMs for the slots that it holds. It is safe for concurrent
+// Desk admits the operations of this VM's callers, and grants tokens to all VMs for the portions that it holds. It is safe for concurrent
 // use.
 type Desk struct {
 	ctx     context.Context
@@ -160,7 +160,7 @@
 	silent := false
 	waitUntil := minTime(deadline, now.Add(maxWait))
 	for now.Before(deadline) {
-		slot, address, ok := d.nextSlot(ws, w.Name(), limit, asked, now)
+		portion, address, ok := d.nextPortion(ws, w.Name(), limit, asked, now)
 		if !ok && d.waitForRefill(ws, w.Name(), limit, now, waitUntil) {
 			asked, now = 0, d.clock()
 			continue
@@ -169,8 +169,8 @@
 			break
 		}
 		asks++
-		asked |= 1 << uint(slot)
-		o := d.ask(address, w.Name(), slot, limit)
+		asked |= 1 << uint(portion)
+		o := d.ask(address, w.Name(), portion, limit)
 		now = d.clock()
 		switch o.kind {
 		case granted:
@@ -179,9 +179,9 @@
 			}
 		case noReply:
 			silent = true
-			asked &^= 1 << uint(slot) // The next candidate for the slot may hold it.
+			asked &^= 1 << uint(portion) // The next candidate for the portion may hold it.
 		case notHolding:
-			asked &^= 1 << uint(slot)
+			asked &^= 1 << uint(portion)
 		case refused:
 		}
 		if ws.take(w.Name(), now, false) {
@@ -224,8 +224,8 @@
 		limit.Rate(), limit.Burst())
 }
 
-// nextSlot returns the slot to ask next and the address of the VM to ask. It returns false if no slot may have tokens.
-func (d *Desk) nextSlot(ws *walletShard, workspace string, limit quota.Limit, asked uint, now time.Time) (int, string, bool) {
+// nextPortion returns the portion to ask next and the address of the VM to ask. It returns false if no portion may have tokens.
+func (d *Desk) nextPortion(ws *walletShard, workspace string, limit quota.Limit, asked uint, now time.Time) (int, string, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.self.Address() == "" {
@@ -236,10 +236,10 @@
 	return d.asker.Next(workspace, limit, ws.wallet(workspace), asked, now)
 }
 
-// waitForRefill waits until a slot of the workspace may have tokens again. It returns false at once if that is not before until.
+// waitForRefill waits until a portion of the workspace may have tokens again. It returns false at once if that is not before until.
 func (d *Desk) waitForRefill(ws *walletShard, workspace string, limit quota.Limit, now, until time.Time) bool {
 	ws.mu.Lock()
-	next := ws.wallet(workspace).NextAsk(limit.Slots())
+	next := ws.wallet(workspace).NextAsk(limit.Portions())
 	ws.mu.Unlock()
 	if !next.After(now) || !next.Before(until) {
 		return false
@@ -254,12 +254,12 @@
 	}
 }
 
-// blocked reports whether a slot of the workspace has refused tokens and is not to be asked yet.
+// blocked reports whether a portion of the workspace has refused tokens and is not to be asked yet.
 func (d *Desk) blocked(ws *walletShard, workspace string, limit quota.Limit, now time.Time) bool {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	for slot := range limit.Slots() {
-		if !ws.wallet(workspace).MayAsk(slot, now) {
+	for portion := range limit.Portions() {
+		if !ws.wallet(workspace).MayAsk(portion, now) {
 			return true
 		}
 	}
--- a/io/grant/grant_test.go
+++ b/io/grant/grant_test.go
@@ -161,12 +161,12 @@
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		return len(data)
 	}
-	a := ask{Workspace: "workspace-1234", Slot: 3, Need: 1, Rate: 16, Burst: 16, Version: 300, Life: 25 * time.Millisecond}
+	a := ask{Workspace: "workspace-1234", Portion: 3, Need: 1, Rate: 16, Burst: 16, Version: 300, Life: 25 * time.Millisecond}
 	empty := size(call{VM: "front-zone-12"})
 	one := size(call{VM: "front-zone-12", Asks: []ask{a}})
 	answered := size(reply{Answers: []answer{{Tokens: 1, Life: 25 * time.Millisecond}}})
 	refusedSize := size(reply{Answers: []answer{{Life: 25 * time.Millisecond, Retry: 30 * time.Millisecond, Borrowed: 14}}})
-	loan := size(loanCall{VM: "front-zone-12", Keys: []key{{Shard: 1, Slot: 1}, {Shard: 1, Slot: 2}, {Shard: 1, Slot: 3}}})
+	loan := size(loanCall{VM: "front-zone-12", Keys: []key{{Shard: 1, Portion: 1}, {Shard: 1, Portion: 2}, {Shard: 1, Portion: 3}}})
 	t.Logf("call %d bytes and %d for each ask; reply %d, or %d with a refusal; loan call %d", empty, one-empty, answered, refusedSize, loan)
 	g.Expect(one).To(gomega.BeNumerically("<=", 96))
 	g.Expect(answered).To(gomega.BeNumerically("<=", 32))
--- a/io/grant/hold.go
+++ b/io/grant/hold.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// grant grants tokens for the slots that this VM holds.
+// grant grants tokens for the portions that this VM holds.
 func (d *Desk) grant(q call) reply {
 	r := reply{Answers: make([]answer, 0, len(q.Asks))}
 	config := d.config()
@@ -61,25 +61,25 @@
 	return r
 }
 
-// grantOne grants tokens for one slot of a workspace to a VM.
+// grantOne grants tokens for one portion of a workspace to a VM.
 func (d *Desk) grantOne(a ask, limit quota.Limit, vm string) answer {
 	s := &d.ledgers[lockShard(a.Workspace)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := d.clock()
-	term, loans, ok := d.term(quota.KeyOf(a.Workspace, a.Slot), now)
+	term, loans, ok := d.term(quota.KeyOf(a.Workspace, a.Portion), now)
 	if !ok {
 		return answer{NotHolder: true}
 	}
 	return newAnswer(s.books.Grant(quota.Ask{
-		Workspace: a.Workspace, Slot: a.Slot, Need: min(a.Need, maxTokens), Spare: min(a.Spare, maxTokens), Life: a.Life,
+		Workspace: a.Workspace, Portion: a.Portion, Need: min(a.Need, maxTokens), Spare: min(a.Spare, maxTokens), Life: a.Life,
 	}, limit, term, loans, now, vm))
 }
 
-// term returns since when this VM holds a key, and the loans of the shard. A VM without an address has all slots for itself.
+// term returns since when this VM holds a key, and the loans of the shard. A VM without an address has all portions for itself.
 func (d *Desk) term(k quota.Key, now time.Time) (time.Time, quota.Loans, bool) {
 	if d.self.Address() == "" {
-		return d.started, quota.AllSlots(d.started), true
+		return d.started, quota.AllPortions(d.started), true
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -99,7 +99,7 @@
 	return d.holder.Holds(k, now)
 }
 
-// Holds reports whether this VM may hold slots now, or once it knows its first configuration. It then needs a fresh list of VMs.
+// Holds reports whether this VM may hold portions now, or once it knows its first configuration. It then needs a fresh list of VMs.
 func (d *Desk) Holds() bool {
 	if d.config().Version() != 0 && !d.Limited() {
 		return false
@@ -169,23 +169,23 @@
 	}
 }
 
-// LedgerState describes a slot that this VM holds in a state dump.
+// LedgerState describes a portion that this VM holds in a state dump.
 type LedgerState struct {
 	Workspace string        `json:"workspace"`
-	Slot      int           `json:"slot"`
+	Portion   int           `json:"portion"`
 	Rate      float64       `json:"rate"`
 	Burst     float64       `json:"burst"`
 	Config    uint64        `json:"config"`
 	Used      float64       `json:"used"`    // tokens that were used and are not refilled yet
 	Usable    float64       `json:"usable"`  // tokens that were granted and may still be used
-	Granted   int64         `json:"granted"` // since this VM has held the slot, or since the slot was last idle
+	Granted   int64         `json:"granted"` // since this VM has held the portion, or since the portion was last idle
 	LastVM    string        `json:"last_vm"` // that got tokens last
 	LastAge   time.Duration `json:"last_age"`
 }
 
 // State describes the quotas in a state dump.
 type State struct {
-	Holds   []string      `json:"holds"` // shard and slot
+	Holds   []string      `json:"holds"` // shard and portion
 	Ledgers []LedgerState `json:"ledgers"`
 }
 
@@ -203,14 +203,14 @@
 		shard.mu.Lock()
 		for _, a := range shard.books.Accounts(now) {
 			s.Ledgers = append(s.Ledgers, LedgerState{
-				Workspace: a.Workspace, Slot: a.Slot, Rate: a.Limit.Rate(), Burst: a.Limit.Burst(), Config: a.Limit.Version(),
+				Workspace: a.Workspace, Portion: a.Portion, Rate: a.Limit.Rate(), Burst: a.Limit.Burst(), Config: a.Limit.Version(),
 				Used: a.Used, Usable: a.Usable, Granted: a.Granted, LastVM: a.LastVM, LastAge: now.Sub(a.LastAt),
 			})
 		}
 		shard.mu.Unlock()
 	}
 	slices.SortFunc(s.Ledgers, func(a, b LedgerState) int {
-		return cmp.Or(cmp.Compare(b.Used+b.Usable, a.Used+a.Usable), cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Slot, b.Slot))
+		return cmp.Or(cmp.Compare(b.Used+b.Usable, a.Used+a.Usable), cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Portion, b.Portion))
 	})
 	s.Ledgers = s.Ledgers[:min(len(s.Ledgers), maxDumpedLedgers)]
 	return s
--- a/io/grant/line.go
+++ b/io/grant/line.go
@@ -27,7 +27,7 @@
 // waiter is an operation that waits for a token.
 type waiter struct {
 	workspace string
-	slot      int
+	portion   int
 	limit     quota.Limit
 	done      chan outcome
 }
@@ -41,8 +41,8 @@
 }
 
 // ask asks the VM at address for a token and waits for the outcome. If the address is empty, it is this VM without other VMs.
-func (d *Desk) ask(address, workspace string, slot int, limit quota.Limit) outcome {
-	w := &waiter{workspace: workspace, slot: slot, limit: limit, done: make(chan outcome, 1)}
+func (d *Desk) ask(address, workspace string, portion int, limit quota.Limit) outcome {
+	w := &waiter{workspace: workspace, portion: portion, limit: limit, done: make(chan outcome, 1)}
 	now := d.clock()
 	d.mu.Lock()
 	l := d.lines[address]
@@ -106,19 +106,19 @@
 func (d *Desk) newCall(pending []*waiter, life time.Duration, now time.Time) (call, [][]*waiter) {
 	q := call{VM: d.self.Name()}
 	var groups [][]*waiter
-	type slotOf struct {
+	type portionOf struct {
 		workspace string
-		slot      int
+		portion   int
 	}
-	index := make(map[slotOf]int, len(pending))
+	index := make(map[portionOf]int, len(pending))
 	for _, w := range pending {
-		key := slotOf{w.workspace, w.slot}
+		key := portionOf{w.workspace, w.portion}
 		i, ok := index[key]
 		if !ok {
 			i = len(groups)
 			index[key] = i
 			groups = append(groups, nil)
-			q.Asks = append(q.Asks, ask{Workspace: w.workspace, Slot: w.slot, Life: life})
+			q.Asks = append(q.Asks, ask{Workspace: w.workspace, Portion: w.portion, Life: life})
 		}
 		a := &q.Asks[i]
 		a.Need++
@@ -143,7 +143,7 @@
 		a, first := r.Answers[i], group[0]
 		if a.NotHolder {
 			d.mu.Lock()
-			d.asker.NotHolder(first.workspace, first.slot, address, now)
+			d.asker.NotHolder(first.workspace, first.portion, address, now)
 			d.mu.Unlock()
 			finish(group, outcome{kind: notHolding})
 			continue
@@ -153,7 +153,7 @@
 		ws.mu.Lock()
 		w := ws.wallet(first.workspace)
 		w.Add(min(a.Spare, maxTokens), sent.Add(a.SpareLife))
-		w.RecordRefusal(first.slot, quota.Grant{Retry: a.Retry, Borrowed: a.Borrowed}, now)
+		w.RecordRefusal(first.portion, quota.Grant{Retry: a.Retry, Borrowed: a.Borrowed}, now)
 		ws.mu.Unlock()
 		finish(group[:n], outcome{kind: granted, end: sent.Add(a.Life)})
 		finish(group[n:], outcome{kind: refused})
--- a/io/grant/loan.go
+++ b/io/grant/loan.go
@@ -9,7 +9,7 @@
 	"verbenagate/io/logs"
 )
 
-// borrow asks for the other slots of the shards whose main slot this VM holds.
+// borrow asks for the other portions of the shards whose main portion this VM holds.
 func (d *Desk) borrow() {
 	if d.self.Address() == "" || !d.Limited() {
 		return
@@ -20,7 +20,7 @@
 			continue
 		}
 		d.background.Go(func() {
-			defer logs.RecoverPanic(d.log, "loan of slots")
+			defer logs.RecoverPanic(d.log, "loan of portions")
 			d.borrowFrom(address, keys)
 		})
 	}
@@ -49,7 +49,7 @@
 func (d *Desk) borrowFrom(address string, keys []quota.Key) {
 	q := loanCall{VM: d.self.Name()}
 	for _, k := range keys {
-		q.Keys = append(q.Keys, key{Shard: k.Shard(), Slot: k.Slot()})
+		q.Keys = append(q.Keys, key{Shard: k.Shard(), Portion: k.Portion()})
 	}
 	sent := d.clock()
 	var r loanReply
@@ -59,7 +59,7 @@
 		ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
 		defer cancel()
 		if _, err := d.clients.Call(ctx, address, link.Loans, q, &r, link.Options{Timeout: callTimeout, Ping: link.SlowPing}); err != nil {
-			return // The loan ends, and the holder grants the tokens of the slots itself.
+			return // The loan ends, and the holder grants the tokens of the portions itself.
 		}
 	}
 	now := d.clock()
@@ -80,7 +80,7 @@
 	d.holder.SetLease(d.lease())
 	var r loanReply
 	for _, k := range q.Keys {
-		life, _ := d.holder.Lend(quota.NewKey(k.Shard, k.Slot), q.VM, now)
+		life, _ := d.holder.Lend(quota.NewKey(k.Shard, k.Portion), q.VM, now)
 		r.Lives = append(r.Lives, life)
 	}
 	return r
--- a/io/grant/message.go
+++ b/io/grant/message.go
@@ -6,17 +6,17 @@
 	"verbenagate/core/quota"
 )
 
-// call asks the holder of slots for tokens.
+// call asks the holder of portions for tokens.
 type call struct {
 	VM   string `cbor:"1,keyasint"` // the caller
 	Asks []ask  `cbor:"2,keyasint"`
 }
 
-// ask is the need of tokens of a slot of a workspace, with its limit in the caller's configuration of this version. A holder whose
+// ask is the need of tokens of a portion of a workspace, with its limit in the caller's configuration of this version. A holder whose
 // configuration is older goes by it.
 type ask struct {
 	Workspace string  `cbor:"1,keyasint"`
-	Slot      int     `cbor:"2,keyasint,omitempty"`
+	Portion   int     `cbor:"2,keyasint,omitempty"`
 	Need      int     `cbor:"3,keyasint"`
 	Spare     int     `cbor:"4,keyasint,omitempty"`
 	Rate      float64 `cbor:"5,keyasint"`
@@ -31,7 +31,7 @@
 	Answers []answer `cbor:"1,keyasint"`
 }
 
-// answer is the encoded form of a quota.Grant. NotHolder says that the VM does not hold the slot, or has lent it.
+// answer is the encoded form of a quota.Grant. NotHolder says that the VM does not hold the portion, or has lent it.
 type answer struct {
 	Tokens    int           `cbor:"1,keyasint,omitempty"`
 	Life      time.Duration `cbor:"2,keyasint,omitempty"`
@@ -46,7 +46,7 @@
 	return answer{Tokens: g.Tokens, Life: g.Life, Spare: g.Spare, SpareLife: g.SpareLife, Retry: g.Retry, Borrowed: g.Borrowed}
 }
 
-// loanCall asks the holder of slots to lend them to the VM that holds the main slots.
+// loanCall asks the holder of portions to lend them to the VM that holds the main portions.
 type loanCall struct {
 	VM   string `cbor:"1,keyasint"` // the caller
 	Keys []key  `cbor:"2,keyasint"`
@@ -54,9 +54,9 @@
 
 // key is the encoded form of a quota.Key.
 type key struct {
-	_     struct{} `cbor:",toarray"`
-	Shard int
-	Slot  int
+	_       struct{} `cbor:",toarray"`
+	Shard   int
+	Portion int
 }
 
 // loanReply has for each key how long it is lent from now on, 0 if it is not.
