--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -39,6 +39,7 @@
 	clock           func() time.Time
 	dialer          port.Dialer
 	log             logs.Logger
+	counts          *counts
 
 	mu            sync.Mutex
 	pools         map[string]*Pool
@@ -89,7 +90,7 @@
 			ok = false
 		}
 		if !ok {
-			p = &Pool{server: s, dialer: g.dialer, clock: g.clock, log: g.log}
+			p = newPool(s, g.dialer, g.clock, g.log, g.counts)
 			g.pools[s.ID()] = p
 		}
 		p.setLimits(limitsOf(s))
@@ -247,6 +248,7 @@
 	s, err = c.Status(max(deadline.Sub(g.clock()), time.Millisecond))
 	switch {
 	case err == nil:
+		p.recordConnCount(s.Connections())
 		return s, true, nil
 	case result.CodeOf(err) == result.Overloaded:
 		return s, true, err
@@ -255,6 +257,19 @@
 	return s, false, err
 }
 
+// Unsettled returns the servers of which this VM has become the owner, and may not be the only one yet. The answer to Status tells.
+func (g *Group) Unsettled() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var ids []string
+	for _, s := range g.members {
+		if p, ok := g.pools[s.ID()]; ok && p.unsettled() {
+			ids = append(ids, s.ID())
+		}
+	}
+	return ids
+}
+
 // Demote makes a server stop being the primary of any term below term.
 func (g *Group) Demote(id string, term uint64, timeout time.Duration) error {
 	p, ok := g.Pool(id)
@@ -276,10 +291,10 @@
 	return ok && p.LastDialRefused()
 }
 
-// CloseIdleConns closes the idle connections to a server. It is called after one of them was found broken.
+// CloseIdleConns closes the idle connections to a server unless they are known to work. It is called after one of them was found broken.
 func (g *Group) CloseIdleConns(id string) {
 	if p, ok := g.Pool(id); ok {
-		p.dropIdle()
+		p.dropSuspects()
 	}
 }
 
@@ -290,6 +305,7 @@
 	dialer          port.Dialer
 	clock           func() time.Time
 	log             logs.Logger
+	counts          counts
 
 	mu        sync.Mutex
 	groups    map[string]*Group
@@ -345,7 +361,7 @@
 		g, ok := s.groups[name]
 		if !ok {
 			g = &Group{
-				name: name, vm: s.vm, localDataCentre: s.localDataCentre, clock: s.clock, dialer: s.dialer, log: s.log,
+				name: name, vm: s.vm, localDataCentre: s.localDataCentre, clock: s.clock, dialer: s.dialer, log: s.log, counts: &s.counts,
 				pools: make(map[string]*Pool), forwarder: s.forwarder, paths: s.paths,
 				table: route.NewTable(s.localDataCentre, nil, route.NewCosts(remotePenalty, primaryPenalty)),
 			}
@@ -374,11 +390,22 @@
 
 // limitsFor returns the limits of this VM's use of a server that accepts limit connections.
 func (s *Set) limitsFor(server layout.Server, limit int, owners []lead.Member) limits {
+	workspaces := s.view != nil && s.view.Config().NeedsKeys()
 	if slices.ContainsFunc(owners, func(m lead.Member) bool { return m.Name() == s.vm }) {
-		return limits{maxOpen: layout.OwnerShare(limit), maxRunning: server.Slots(), idle: maxIdleTime, shared: true}
+		l := limits{
+			maxOpen: layout.OwnerShare(limit), maxRunning: server.Slots(), idle: maxIdleTime, shared: true, workspaces: workspaces,
+		}
+		if workspaces {
+			l.maxOpen = layout.TakeoverShare(limit)
+			if owners[0].Name() == s.vm {
+				l.settled = layout.SettledShare(limit)
+			}
+		}
+		return l
 	}
 	l := limits{
 		maxOpen: layout.Share(limit, s.vmCount), maxRunning: admit.MaxRunning(server.Slots(), s.vmCount), idle: maxIdleTime,
+		workspaces: workspaces,
 	}
 	if layout.Overcommitted(limit, s.vmCount) {
 		l.idle = maxIdleTimeOvercommitted
@@ -421,6 +448,14 @@
 	}
 }
 
+// ConnCounts returns how many connections the VM has opened to servers, and how many idle ones it has closed for another workspace.
+func (s *Set) ConnCounts() (opened, replaced int64) {
+	return s.counts.opened.Load(), s.counts.replaced.Load()
+}
+
+// Settling reports whether some group may have servers that are Unsettled.
+func (s *Set) Settling() bool { return s.clock().UnixNano() < s.counts.settledAt.Load() }
+
 // GroupState is the state of a group, for a diagnostic dump.
 type GroupState struct {
 	Name    string  `json:"name"`
