core/quota, io/grant: ask no VM for tokens that has not replied until a probe is answered

Measured: the tests of core/quota and io/grant; TestHolderFails guards against asking failed holders again.

--- a/core/quota/asker.go
+++ b/core/quota/asker.go
@@ -1,25 +1,24 @@
 package quota
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"verbenagate/core/lead"
 	"verbenagate/core/owner"
 )
 
-const (
-	// failureDelay is how long a VM that did not reply is not asked, and notHolderDelay the same for a key that a VM does not hold.
-	failureDelay   = time.Second
-	notHolderDelay = 300 * time.Millisecond
-)
+// notHolderDelay is how long a VM is not asked for a key that it does not hold.
+const notHolderDelay = 300 * time.Millisecond
 
 // Asker decides which VM is asked for tokens. It is not safe for concurrent use.
 type Asker struct {
 	self       lead.Member
 	live       []string
 	candidates map[Key][]lead.Member
-	order      map[int][]int // by shard: the order in which this VM asks the portions
-	failed     map[string]time.Time
+	order      map[int][]int   // by shard: the order in which this VM asks the portions
+	failed     map[string]bool // by address: VMs that did not reply, until they are found to answer
 	notHolder  map[candidate]time.Time
 }
 
@@ -31,7 +30,7 @@
 // NewAsker returns the asker of the VM self.
 func NewAsker(self lead.Member) *Asker {
 	return &Asker{
-		self: self, candidates: make(map[Key][]lead.Member), order: make(map[int][]int), failed: make(map[string]time.Time),
+		self: self, candidates: make(map[Key][]lead.Member), order: make(map[int][]int), failed: make(map[string]bool),
 		notHolder: make(map[candidate]time.Time),
 	}
 }
@@ -108,7 +107,7 @@
 		}
 		key := KeyOf(workspace, portion)
 		for _, c := range a.candidates[key] {
-			if !now.Before(a.failed[c.Address()]) && !now.Before(a.notHolder[candidate{key, c.Address()}]) {
+			if !a.failed[c.Address()] && !now.Before(a.notHolder[candidate{key, c.Address()}]) {
 				return portion, c.Address(), true
 			}
 		}
@@ -125,13 +124,32 @@
 	return c[0], true
 }
 
-// Failed records that the VM at address did not reply. It returns false if that is known.
-func (a *Asker) Failed(address string, now time.Time) bool {
-	known := now.Before(a.failed[address])
-	a.failed[address] = now.Add(failureDelay)
+// Failed records that the VM at address did not reply. It is not asked for tokens until Recovered is called, so that operations do not wait
+// for it in vain. Failed returns false if that is known.
+func (a *Asker) Failed(address string) bool {
+	known := a.failed[address]
+	a.failed[address] = true
 	return !known
 }
 
+// Recovered records that the VM at address answers.
+func (a *Asker) Recovered(address string) { delete(a.failed, address) }
+
+// FailedVMs returns the addresses of the VMs that did not reply, without those that are not candidates any more.
+func (a *Asker) FailedVMs() []string {
+	if len(a.failed) == 0 {
+		return nil
+	}
+	known := make(map[string]bool)
+	for _, c := range a.candidates {
+		for _, m := range c {
+			known[m.Address()] = true
+		}
+	}
+	maps.DeleteFunc(a.failed, func(address string, _ bool) bool { return !known[address] })
+	return slices.Sorted(maps.Keys(a.failed))
+}
+
 // NotHolder records that the VM at address does not hold the key of a portion.
 func (a *Asker) NotHolder(workspace string, portion int, address string, now time.Time) {
 	a.notHolder[candidate{KeyOf(workspace, portion), address}] = now.Add(notHolderDelay)
@@ -139,11 +157,6 @@
 
 // Sweep drops what does not matter any more.
 func (a *Asker) Sweep(now time.Time) {
-	for address, until := range a.failed {
-		if !now.Before(until) {
-			delete(a.failed, address)
-		}
-	}
 	for c, until := range a.notHolder {
 		if !now.Before(until) {
 			delete(a.notHolder, c)
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -397,7 +397,9 @@
 			return
 		}
 		answered = true
-		v.asker.Failed(address, s.now)
+		if v.asker.Failed(address) {
+			s.probe(v, address)
+		}
 		for _, w := range pending {
 			w.done(simNoReply, time.Time{})
 		}
@@ -420,6 +422,18 @@
 	})
 }
 
+// probe checks once a second whether the VM at address answers again.
+func (s *sim) probe(v *simVM, address string) {
+	target := s.byAddress[address]
+	s.after(time.Second, v, func() {
+		if target.running && !s.now.Before(target.frozenUntil) && v.cut == target.cut {
+			v.asker.Recovered(address)
+			return
+		}
+		s.probe(v, address)
+	})
+}
+
 // grant returns the grants of the VM v, nil for the portions that it does not hold.
 func (s *sim) grant(v, to *simVM, asks []Ask, groups [][]simWaiter) []*Grant {
 	all := make([]*Grant, len(asks))
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -268,9 +268,8 @@
 
 // markFailed records that the VM at address did not reply.
 func (d *Desk) markFailed(address string, err error) {
-	now := d.clock()
 	d.mu.Lock()
-	first := d.asker.Failed(address, now)
+	first := d.asker.Failed(address)
 	d.mu.Unlock()
 	if first {
 		d.log.Event(event.HolderFailed, zap.String("address", address), zap.Error(err))
--- a/io/grant/hold.go
+++ b/io/grant/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
@@ -9,6 +10,8 @@
 
 	"verbenagate/core/event"
 	"verbenagate/core/quota"
+	"verbenagate/io/link"
+	"verbenagate/io/logs"
 	"verbenagate/io/metric"
 )
 
@@ -130,8 +133,27 @@
 		s.mu.Unlock()
 	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.asker.Sweep(now)
+	failed := d.asker.FailedVMs()
+	d.mu.Unlock()
+	for _, address := range failed {
+		d.background.Go(func() { d.probe(address) })
+	}
+}
+
+// probe checks whether the VM at address, which did not reply, answers again.
+func (d *Desk) probe(address string) {
+	defer logs.RecoverPanic(d.log, "probe of a holder")
+	ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
+	defer cancel()
+	var r reply
+	q := call{VM: d.self.Name()}
+	if _, err := d.clients.Call(ctx, address, link.Tokens, q, &r, link.Options{Timeout: callTimeout, Ping: link.SlowPing}); err != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.asker.Recovered(address)
 }
 
 // logTerms logs the keys that this VM has begun or ceased to hold.
