--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -16,6 +16,7 @@
 	CallerClosed       ID = 202
 	StatementDone      ID = 203
 	CallerTurnedAway   ID = 204
+	QuotaRefused       ID = 205
 	RouteRetry         ID = 300
 	RouteNoBarrier     ID = 301
 	EndptDown          ID = 400
@@ -40,6 +41,8 @@
 	MemberLeaving      ID = 604
 	OwnerFailed        ID = 605
 	ForwardFailed      ID = 606
+	HolderChanged      ID = 607
+	HolderFailed       ID = 608
 	PrimarySilent      ID = 700
 	PromotionStarted   ID = 701
 	PromotionDone      ID = 702
@@ -86,6 +89,7 @@
 	{CallerClosed, LayerCaller, "caller connection closed", "None."},
 	{StatementDone, LayerCaller, "statement ended", "Look up the result code; the fields say which server ran it and for how long."},
 	{CallerTurnedAway, LayerCaller, "caller turned away", "See \"Memory is high\" in OPERATIONS.md; others counts callers since the last such line."},
+	{QuotaRefused, LayerCaller, "operations refused for the quota of their workspace", "None for over_limit, unless the limit in the configuration is too low; for no_holder, look for the holders of the workspace's portions (607, 608)."},
 	{RouteRetry, LayerRoute, "unit of work retried", "None, unless the rate is high; then check the servers that it names."},
 	{RouteNoBarrier, LayerRoute, "barrier for a session not confirmed", "Check which servers of the group can be reached from this data centre."},
 	{EndptDown, LayerEndpoint, "server unreachable", "Check the server and the network between it and this VM."},
@@ -110,6 +114,8 @@
 	{MemberLeaving, LayerMember, "VM is leaving", "None; it finishes its work and others take over its servers."},
 	{OwnerFailed, LayerMember, "owner of servers does not answer", "None, unless it repeats; then check that VM and its network path."},
 	{ForwardFailed, LayerMember, "forwarded request refused or failed", "Look up the result code; the line of the VM that forwarded the request says what its caller was told."},
+	{HolderChanged, LayerMember, "portions of quotas held by this VM changed", "None."},
+	{HolderFailed, LayerMember, "holder of portions of quotas does not answer", "None, unless it repeats; then check that VM and its network path."},
 	{PrimarySilent, LayerFailover, "primary does not report its status", "Check the primary; a promotion follows if other VMs agree."},
 	{PromotionStarted, LayerFailover, "promotion started", "None."},
 	{PromotionDone, LayerFailover, "promotion done", "Find out why the old primary failed."},
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"verbenagate/core/event"
+	"verbenagate/core/layout"
 	"verbenagate/core/lead"
 	"verbenagate/core/port"
 	"verbenagate/core/result"
@@ -24,6 +25,7 @@
 	"verbenagate/io/elect"
 	"verbenagate/io/entry"
 	"verbenagate/io/every"
+	"verbenagate/io/grant"
 	"verbenagate/io/link"
 	"verbenagate/io/logs"
 	"verbenagate/io/metric"
@@ -92,6 +94,7 @@
 	agents     *relay.Relay
 	owner      *remote.Owner
 	peers      *link.Server
+	quotas     *grant.Desk
 	entry      *entry.Server
 	stopping   atomic.Bool
 	cancel     context.CancelFunc
@@ -114,7 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	metrics := metric.NewSet(entry.Catalog(metric.NewRegistry()), metric.ReportInterval)
+	metrics := metric.NewSet(grant.Catalog(entry.Catalog(metric.NewRegistry())), metric.ReportInterval)
 	panics := metrics.Counter(entry.Panics)
 	log := logs.NewCounting(lineLog, func(id event.ID) {
 		if id == event.PanicRecovered {
@@ -150,7 +153,10 @@
 	elector.Store(e.elector)
 	agents.SetGranter(e.elector)
 	e.owner = remote.NewOwner(ctx, e.pools, e.elector, forwarder, Clock, log)
+	e.quotas = grant.New(ctx, self, clients, e.elector.LeaseSpan, func() layout.Config { return e.directory.View().Config() }, metrics, Clock, log)
+	e.elector.OnMembers(e.quotas.SetMembers, e.quotas.Holds, e.quotas.Limited)
 	e.peers = link.NewServer(ctx, Clock, log)
+	e.quotas.Register(e.peers)
 	agents.Register(e.peers)
 	e.owner.SetAccount(a.Account)
 	e.owner.Register(e.peers)
@@ -166,6 +172,7 @@
 	e.entry, err = entry.Listen(ctx, s.Callers(), entry.Dependencies{
 		Wrap: a.Wrap, View: e.directory.View, Groups: e.pools, Elector: e.elector, Clock: Clock, Log: log, Metrics: e.metrics,
 		Bounds: entry.Bounds{Account: a.Account, Limits: limits},
+		Quota:  e.quotas,
 	})
 	if err != nil {
 		cancel()
@@ -240,6 +247,7 @@
 	Elector  elect.State       `json:"elector"`
 	Agents   relay.State       `json:"agents"`
 	Groups   []pool.GroupState `json:"groups"`
+	Quotas   grant.State       `json:"quotas"`
 }
 
 // State returns a dump of the VM's current state.
@@ -247,6 +255,7 @@
 	return State{
 		VM: e.settings.VM(), Ready: e.Ready(), Config: e.directory.View().Config().Version(), Sessions: e.entry.Sessions(),
 		Memory: e.account.State(), Elector: e.elector.State(), Agents: e.agents.State(), Groups: e.pools.State(),
+		Quotas: e.quotas.State(),
 	}
 }
 
@@ -294,6 +303,7 @@
 		e.directory.Wait()
 		e.peers.Wait()
 		e.owner.Wait()
+		e.quotas.Wait()
 		e.agents.Wait()
 		e.background.Wait()
 	}()
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -36,6 +36,10 @@
 	suspectReadInterval = 100 * time.Millisecond
 	// fleetMaxAge is how old the list of VMs may be while no primary is suspected.
 	fleetMaxAge = time.Second
+	// freshReadInterval applies while this VM holds portions of quotas.
+	freshReadInterval = time.Second
+	// maxProofReads is how often a process tries to read from the store since when leases of its VM have been valid.
+	maxProofReads = 3
 	// startupReadInterval applies while the list names at most one VM: after a start it may lack most of them.
 	startupReadInterval = 800 * time.Millisecond
 	// rankDelay staggers the VMs that may act on a group, so that normally only one of them acts.
@@ -112,20 +116,27 @@
 	fleet       lead.Fleet
 	fleetReadAt time.Time // when the call that returned fleet was made
 
-	mu            sync.Mutex
-	groups        map[string]*groupState
-	epoch         uint64
-	recordsRead   bool // all records have been read at least once
-	lease         lead.Lease
-	leaseHeld     bool
-	storeClock    lead.StoreClock
-	ownRowVersion uint64 // version of this VM's row; 0 if unknown
-	grants        lead.Grants
-	members       []lead.Member
-	listed        bool                     // members contains this VM; before, VMs that start together would all act on each group
-	watchers      map[string][]lead.Member // by group; cache derived from members
-	changed       chan struct{}            // closed and replaced when a record or the lease changes
-	stopping      bool
+	mu          sync.Mutex
+	groups      map[string]*groupState
+	epoch       uint64
+	recordsRead bool // all records have been read at least once
+	lease       lead.Lease
+	leaseHeld   bool
+	leaseSince  time.Time // from when on the lease has been valid without a gap
+	onMembers   func(present []lead.Member, asOf time.Time)
+	needsFresh  func() bool // whether the list of VMs must be read every freshReadInterval
+	// needsContinuity says whether rows of leases contain since when these have been valid without a gap.
+	needsContinuity func() bool
+	provenSince     time.Time // from when on a lease of this VM has been valid without a gap, also of an earlier process; zero if unknown
+	proofsLeft      int       // how often provenSince may still be read from the store
+	storeClock      lead.StoreClock
+	ownRowVersion   uint64 // version of this VM's row; 0 if unknown
+	grants          lead.Grants
+	members         []lead.Member
+	listed          bool                     // members contains this VM; before, VMs that start together would all act on each group
+	watchers        map[string][]lead.Member // by group; cache derived from members
+	changed         chan struct{}            // closed and replaced when a record or the lease changes
+	stopping        bool
 }
 
 // New returns the elector of the VM self. It does nothing until Start is called.
@@ -135,7 +146,7 @@
 	return &Elector{
 		self: self, name: self.Name(), rows: rows, agents: agents, promoter: promoter, pools: pools, paths: paths, view: view, clock: clock, log: log,
 		renewSignal: make(chan struct{}, 1), renewRequests: make(chan *renewRequest), groups: make(map[string]*groupState),
-		changed: make(chan struct{}), started: clock(),
+		changed: make(chan struct{}), started: clock(), proofsLeft: maxProofReads,
 	}
 }
 
@@ -170,6 +181,55 @@
 	})
 }
 
+// OnMembers makes the elector call f with each list of present VMs that it reads, and with a time as of which the list is valid. It reads
+// the list every freshReadInterval while needsFresh returns true, and keeps account of the continuity of leases while needsContinuity does.
+// It must be called before Start.
+func (e *Elector) OnMembers(f func(present []lead.Member, asOf time.Time), needsFresh, needsContinuity func() bool) {
+	e.onMembers, e.needsFresh, e.needsContinuity = f, needsFresh, needsContinuity
+}
+
+// LeaseSpan returns since when this process has been present without a gap, its lease valid or ended less than lead.Linger ago, and until
+// when it will be. Proven is since when this VM, also with an earlier process, has been present without a gap; it is zero if that is not
+// known. All are zero without a lease.
+func (e *Elector) LeaseSpan() (since, until, proven time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lease.Until().IsZero() {
+		return time.Time{}, time.Time{}, time.Time{}
+	}
+	return e.leaseSince, e.lease.Until().Add(lead.Linger), e.provenSince
+}
+
+// proveContinuity reads from the store since when leases of this VM have been valid without a gap. A VM whose process was started again
+// within its lease then need not wait until other VMs have certainly seen the lease.
+func (e *Elector) proveContinuity(ctx context.Context) {
+	sent := e.clock()
+	e.mu.Lock()
+	due := e.proofsLeft > 0 && e.lease.Valid(sent) && e.provenSince.IsZero() && sent.Sub(e.leaseSince) < lead.LeaseDuration+lead.Linger
+	if due {
+		e.proofsLeft--
+	}
+	since := e.leaseSince
+	e.mu.Unlock()
+	if !due {
+		return
+	}
+	s, err := e.rows.List(ctx, memberTable)
+	if err != nil {
+		return
+	}
+	received := e.clock()
+	entries, _ := decodeAllMembers(s.Rows)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaseSince != since || !e.lease.Valid(received) {
+		return
+	}
+	if from, ok := lead.PresentSince(entries, e.name, s.Clock); ok {
+		e.provenSince = received.Add(from - s.Clock)
+	}
+}
+
 // Wait waits until the elector has ended all that Start began. Call it when the context passed to Start has ended.
 func (e *Elector) Wait() {
 	e.paths.Wait()
@@ -464,6 +524,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if now := e.clock(); !now.Before(e.lease.Until().Add(lead.Linger)) {
+		e.leaseSince, e.provenSince = now, time.Time{}
+	}
 	e.lease.Renew(sent, epoch)
 	if !e.leaseHeld {
 		e.leaseHeld = true
@@ -499,6 +562,7 @@
 	if e.isWatchedPrimarySuspected() {
 		maxAge = suspectReadInterval
 	}
+	sent := e.clock()
 	fleet, err := e.agents.ReadFleet(ctx, maxAge)
 	if err != nil {
 		return
@@ -511,6 +575,12 @@
 	e.paths.SetMembers(fleet.Live())
 	e.pools.SetMembers(fleet.Live(), fleet.Holders())
 	e.agents.SetAgents(agents)
+	if e.onMembers != nil {
+		e.onMembers(fleet.Present(), sent.Add(-maxAge))
+	}
+	if e.needsFresh != nil && e.needsFresh() && e.needsContinuity() {
+		e.proveContinuity(ctx)
+	}
 }
 
 // ReadFleet implements relay.Granter: it returns the live VMs as of at most maxAge ago, from the store if need be.
@@ -528,6 +598,7 @@
 	members := e.decodeMembers(s.Rows)
 	e.mu.Lock()
 	e.recordStoreClock(sent, s)
+	e.observeLeases(s)
 	e.mu.Unlock()
 	e.fleet, e.fleetReadAt = lead.FleetOf(members, s.Clock), sent
 	return e.fleet, nil
@@ -546,11 +617,15 @@
 	if e.isWatchedPrimarySuspected() {
 		return suspectReadInterval
 	}
+	needsFresh := e.needsFresh != nil && e.needsFresh()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.members) <= 1 || !e.listed {
 		return startupReadInterval
 	}
+	if needsFresh {
+		return freshReadInterval
+	}
 	return memberReadInterval*3/4 + time.Duration(retry.Jitter()*float64(memberReadInterval)/2)
 }
 
--- a/io/elect/grant.go
+++ b/io/elect/grant.go
@@ -137,6 +137,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.recordStoreClock(sent, s)
+	e.observeLeases(s)
 	for _, row := range s.Rows {
 		if row.Key != e.name {
 			continue
@@ -185,7 +186,11 @@
 	storeTime, _ := e.storeClock.UpperBound(now)
 	epoch, ownRowVersion := e.epoch, e.ownRowVersion
 	// The transaction may take effect even if its answer is lost, so its leases count as granted from now on.
-	e.grants = e.grants.With(renew, leave, storeTime+lead.LeaseDuration, e.storeClock.LowerBound())
+	continuity, linger := e.needsContinuity != nil && e.needsContinuity(), time.Duration(0)
+	if continuity {
+		linger = lead.Linger
+	}
+	e.grants = e.grants.WithKept(renew, leave, storeTime+lead.LeaseDuration, e.storeClock.LowerBound(), linger)
 	members := e.grants.Members()
 	e.mu.Unlock()
 	expect := []port.Row{{Table: memberTable, Key: e.name, Version: ownRowVersion}}
@@ -196,7 +201,7 @@
 	if len(members) == 0 {
 		remove = append(remove, port.Row{Table: memberTable, Key: e.name})
 	} else {
-		row, err := encodeMembers(e.name, members)
+		row, err := encodeMembers(e.name, members, continuity)
 		if err != nil {
 			return err
 		}
@@ -209,9 +214,22 @@
 	e.ownRowVersion = 0
 	if err == nil && len(put) > 0 {
 		e.ownRowVersion = s.Version
+		renewed := make([]string, 0, len(renew))
+		for _, m := range renew {
+			renewed = append(renewed, m.Name())
+		}
+		e.grants = e.grants.Confirm(renewed, s.Clock)
 	}
 	if err != nil && !errors.Is(err, port.ErrConflict) {
 		e.log.Event(event.StoreAnswerLost, zap.String("table", memberTable), zap.Int("leases", len(renew)), zap.Error(err))
 	}
 	return err
 }
+
+// observeLeases records the continuity of the leases in all rows of memberTable, where that is needed. The caller holds mu.
+func (e *Elector) observeLeases(s port.Snapshot) {
+	if e.needsContinuity != nil && e.needsContinuity() {
+		entries, _ := decodeAllMembers(s.Rows)
+		e.grants = e.grants.Observe(entries, s.Clock)
+	}
+}
--- a/io/elect/records.go
+++ b/io/elect/records.go
@@ -45,6 +45,11 @@
 	DataCentre string   `json:"data_centre,omitempty"`
 	Address    string   `json:"address,omitempty"`
 	Cores      float64  `json:"cores,omitempty"`
+	// SinceMs and ProvenMs are the continuity of the lease. They are written only where quotas need them.
+	SinceMs  int64 `json:"since_ms,omitempty"`
+	ProvenMs int64 `json:"proven_ms,omitempty"`
+	// PresentMs is set for a VM that has given up its lease; see lead.Member.PresentUntil.
+	PresentMs int64 `json:"present_ms,omitempty"`
 }
 
 func encodeRecord(group string, r lead.Record) (port.Row, error) {
@@ -74,14 +79,21 @@
 	return group, r.WithPromotionOrdered(g.Ordered).WithVersion(row.Version), true, nil
 }
 
-// encodeMembers returns the row of a VM with the leases that it has requested.
-func encodeMembers(vm string, members []lead.Member) (port.Row, error) {
+// encodeMembers returns the row of a VM with the leases that it has requested, and with their continuity if that is set.
+func encodeMembers(vm string, members []lead.Member, continuity bool) (port.Row, error) {
 	var r memberRow
 	for _, m := range members {
-		r.VMs = append(r.VMs, memberEntry{
+		e := memberEntry{
 			Name: m.Name(), Epoch: m.Epoch(), UntilMs: m.Until().Milliseconds() + 1, Suspect: m.Suspected(),
 			DataCentre: m.DataCentre(), Address: m.Address(), Cores: m.Cores(),
-		})
+		}
+		if since, proven := m.Continuity(); continuity && proven > 0 {
+			e.SinceMs, e.ProvenMs = since.Milliseconds()+1, proven.Milliseconds()
+		}
+		if m.Left() {
+			e.PresentMs = m.PresentUntil().Milliseconds() + 1
+		}
+		r.VMs = append(r.VMs, e)
 	}
 	value, err := json.Marshal(r)
 	return port.Row{Table: memberTable, Key: vm, Value: value}, err
@@ -95,7 +107,12 @@
 	members := make([]lead.Member, 0, len(r.VMs))
 	for _, m := range r.VMs {
 		until := time.Duration(m.UntilMs) * time.Millisecond
-		members = append(members, lead.NewMember(m.Name, m.Epoch, until, m.Suspect).WithLocation(m.DataCentre, m.Address).WithCores(m.Cores))
+		member := lead.NewMember(m.Name, m.Epoch, until, m.Suspect).WithLocation(m.DataCentre, m.Address).WithCores(m.Cores)
+		member = member.WithContinuity(time.Duration(m.SinceMs)*time.Millisecond, time.Duration(m.ProvenMs)*time.Millisecond)
+		if m.PresentMs > 0 {
+			member = member.WithPresentUntil(time.Duration(m.PresentMs) * time.Millisecond)
+		}
+		members = append(members, member)
 	}
 	return members, nil
 }
@@ -103,7 +120,12 @@
 // decodeMembers returns the members of all rows, one for each VM, and an error for each row that cannot be decoded. Such a row must
 // not hide the other VMs.
 func decodeMembers(rows []port.Row) (members []lead.Member, invalid []error) {
-	var all []lead.Member
+	all, invalid := decodeAllMembers(rows)
+	return lead.Merge(all), invalid
+}
+
+// decodeAllMembers returns the entries of all rows, of which a VM may have several, and an error for each row that cannot be decoded.
+func decodeAllMembers(rows []port.Row) (all []lead.Member, invalid []error) {
 	for _, row := range rows {
 		m, err := decodeMemberRow(row)
 		if err != nil {
@@ -112,5 +134,5 @@
 		}
 		all = append(all, m...)
 	}
-	return lead.Merge(all), invalid
+	return all, invalid
 }
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -19,6 +19,9 @@
 	Run
 	Release
 	Position
+	// Tokens for the operations of limited workspaces; see io/grant.
+	Tokens
+	Loans
 )
 
 // request is a call from one VM to another.
