--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -151,7 +151,14 @@
 	if deadline = minTime(deadline, now.Add(admitTimeout)); !now.Before(deadline) {
 		return result.New(result.DeadlineTooClose, "no time is left to count the operation")
 	}
-	limit := quota.NewLimit(w.Rate(), w.Burst(), d.config().Version())
+	config := d.config()
+	if current, ok := config.Workspace(w.Name()); ok {
+		w = current // The limit must be that of the version that is sent along.
+	}
+	if !w.Limited() {
+		return nil
+	}
+	limit := quota.NewLimit(w.Rate(), w.Burst(), config.Version())
 	ws := &d.wallets[lockShard(w.Name())]
 	if ws.take(w.Name(), now, true) {
 		return nil
