--- a/core/quota/asker.go
+++ b/core/quota/asker.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"verbenagate/core/lead"
-	"verbenagate/core/owner"
 )
 
 // notHolderDelay is how long a VM is not asked for a key that it does not hold.
@@ -30,7 +29,7 @@
 // NewAsker returns the asker of the VM self.
 func NewAsker(self lead.Member) *Asker {
 	return &Asker{
-		self: self, candidates: make(map[Key][]lead.Member), order: make(map[int][]int), failed: make(map[string]bool),
+		self: self, candidates: make(map[Key][]lead.Member), failed: make(map[string]bool),
 		notHolder: make(map[candidate]time.Time),
 	}
 }
@@ -42,13 +41,8 @@
 		for _, m := range live {
 			a.live = append(a.live, identity(m))
 		}
-		byShard := make(map[int][]Key)
 		for _, k := range Keys() {
 			a.candidates[k] = Candidates(live, k)
-			byShard[k.shard] = append(byShard[k.shard], k)
-		}
-		for shard, keys := range byShard {
-			a.order[shard] = a.askOrder(keys)
 		}
 	}
 	var named []Key
@@ -74,35 +68,11 @@
 
 func identity(m lead.Member) string { return m.Name() + " " + m.Address() }
 
-// askOrder returns the order in which this VM asks the portions of a shard: the main one first, then those held in its data centre, and the
-// others in an order of its own.
-func (a *Asker) askOrder(keys []Key) []int {
-	names := make([]string, 0, len(keys))
-	byName := make(map[string]Key, len(keys))
-	for _, k := range keys {
-		if k.portion != mainPortion {
-			names = append(names, k.String())
-			byName[k.String()] = k
-		}
-	}
-	order := []int{mainPortion}
-	var far []int
-	for _, name := range owner.Order(a.self.Name(), names) {
-		k := byName[name]
-		if c := a.candidates[k]; len(c) > 0 && c[0].DataCentre() == a.self.DataCentre() {
-			order = append(order, k.portion)
-		} else {
-			far = append(far, k.portion)
-		}
-	}
-	return append(order, far...)
-}
-
 // Next returns the portion of the workspace to ask next at now, and the address of the VM to ask. Asked has a bit for each portion that was
 // asked already, and w knows which portions have no tokens. It returns false if no portion is left.
 func (a *Asker) Next(workspace string, limit Limit, w *Wallet, asked uint, now time.Time) (portion int, address string, ok bool) {
-	for _, portion := range a.order[ShardOf(workspace)] {
-		if portion >= limit.Portions() || asked&(1<<uint(portion)) != 0 || !w.MayAsk(portion, now) {
+	for portion := range limit.Portions() {
+		if asked&(1<<uint(portion)) != 0 || !w.MayAsk(portion, now) {
 			continue
 		}
 		key := KeyOf(workspace, portion)
--- a/core/quota/books.go
+++ b/core/quota/books.go
@@ -32,8 +32,8 @@
 	Life time.Duration
 }
 
-// Grant grants tokens to vm, for a portion that this VM has held since term, of a workspace with this limit. The holder of the main portion
-// grants those of the portions that it has borrowed too. A ledger of an earlier term is not used: another VM may have granted tokens since.
+// Grant grants tokens to vm, for a portion that this VM has held since term, of a workspace with this limit. It grants those of
+// the portions that were borrowed for this one too. A ledger of an earlier term is not used: another VM may have granted tokens since.
 func (b *Books) Grant(a Ask, limit Limit, term time.Time, loans Loans, now time.Time, vm string) Grant {
 	if b.accounts == nil {
 		b.accounts = make(map[account]*entry)
@@ -44,16 +44,12 @@
 		e = &entry{ledger: NewLedger(limit, a.Portion, term), term: term}
 		b.accounts[key] = e
 	}
-	if a.Portion == mainPortion {
-		e.ledger.SetLoans(loans, now)
-	}
+	e.ledger.SetLoans(loans, now)
 	e.ledger.SetLimit(limit, now)
 	g := e.ledger.Grant(now, a.Need, a.Spare, a.Life)
-	if a.Portion == mainPortion {
-		for portion, loan := range loans {
-			if now.Before(loan.Until) {
-				g.Borrowed |= 1 << portion
-			}
+	for portion, loan := range loans {
+		if now.Before(loan.Until) {
+			g.Borrowed |= 1 << portion
 		}
 	}
 	if n := g.Tokens + g.Spare; n > 0 {
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -15,8 +15,8 @@
 const (
 	// maxPortions is how many portions a workspace has at most. A VM that fails takes the part of its portions with it until they have a new
 	// holder.
-	maxPortions = 4
-	// mainPortion is the portion whose holder borrows the others.
+	maxPortions = 8
+	// mainPortion is the portion that is asked first, and whose holder borrows the others.
 	mainPortion = 0
 	// shards is the number of groups of workspaces that have the same holders. It bounds the number of holders that a VM calls.
 	shards = 8
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -82,7 +82,10 @@
 	g := gomega.NewWithT(t)
 	now := time.Unix(1000, 0)
 	l := NewLedger(NewLimit(10, 10, 1), mainPortion, now.Add(-time.Minute))
-	loans := Loans{{}, {now.Add(-time.Minute), now.Add(time.Minute)}, {now.Add(-time.Minute), now.Add(time.Minute)}, {now.Add(-time.Minute), now.Add(time.Minute)}}
+	var loans Loans
+	for portion := 1; portion < maxPortions; portion++ {
+		loans[portion] = Loan{now.Add(-time.Minute), now.Add(time.Minute)}
+	}
 	l.SetLoans(loans, now)
 	l.SetLimit(NewLimit(2, 2, 2), now)
 	g.Expect(l.Grant(now, 10, 0, time.Second).Tokens).To(gomega.Equal(2))
@@ -159,18 +162,18 @@
 		return ok
 	}
 	g.Expect(holds(&h, now)).To(gomega.BeTrue())
-	life, ok := h.Lend(k, "a", now)
+	life, ok := h.Lend(k, "a", MainKey(3), now)
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(life).To(gomega.Equal(loanLife))
 	g.Expect(holds(&h, now.Add(loanLife))).To(gomega.BeFalse(), "the borrower's clock may be slow")
-	_, ok = h.Lend(k, "b", now.Add(loanLife))
+	_, ok = h.Lend(k, "b", MainKey(3), now.Add(loanLife))
 	g.Expect(ok).To(gomega.BeFalse())
-	_, ok = h.Lend(MainKey(3), "b", now)
+	_, ok = h.Lend(MainKey(3), "b", k, now)
 	g.Expect(ok).To(gomega.BeFalse())
 	term, ok := h.Term(k, now.Add(time.Second))
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(term).To(gomega.Equal(now.Add(loanLife+loanMargin)), "a new term, whose ledger is empty")
-	life, ok = h.Lend(k, "b", now.Add(4900*time.Millisecond))
+	life, ok = h.Lend(k, "b", MainKey(3), now.Add(4900*time.Millisecond))
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(life).To(gomega.Equal(100*time.Millisecond), "no longer than this VM holds it")
 
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -266,15 +266,16 @@
 	})
 }
 
-// borrow asks for the portions of the shards whose main portion v holds.
+// borrow asks for the portions above those that v holds.
 func (s *sim) borrow(v *simVM) {
 	s.after(LoanInterval, v, func() { s.borrow(v) })
 	v.holder.SetLease(v.leaseSince, v.leaseUntil, v.provenSince)
 	for shard := range Shards() {
-		if _, ok := v.holder.Term(MainKey(shard), s.now); !ok {
+		borrower, ok := v.holder.Borrowing(shard, s.now)
+		if !ok {
 			continue
 		}
-		for _, k := range Wanted(shard) {
+		for _, k := range Wanted(borrower) {
 			m, ok := v.asker.FirstCandidate(k)
 			if !ok {
 				continue
@@ -282,14 +283,14 @@
 			target, sent := s.byAddress[m.Address()], s.now
 			lend := func() {
 				target.holder.SetLease(target.leaseSince, target.leaseUntil, target.provenSince)
-				life, ok := target.holder.Lend(k, v.member.Name(), s.now)
+				life, ok := target.holder.Lend(k, v.member.Name(), borrower, s.now)
 				if target == v && ok {
-					v.borrower.Record(k, sent, life, s.now)
+					v.borrower.Record(borrower, k, sent, life, s.now)
 				}
 				if target == v || !ok || v.cut != target.cut {
 					return
 				}
-				s.after(s.delay(), v, func() { v.borrower.Record(k, sent, life, s.now) })
+				s.after(s.delay(), v, func() { v.borrower.Record(borrower, k, sent, life, s.now) })
 			}
 			if target == v {
 				lend()
@@ -440,7 +441,7 @@
 	v.holder.SetLease(v.leaseSince, v.leaseUntil, v.provenSince)
 	for i, a := range asks {
 		if term, ok := v.holder.Term(KeyOf(a.Workspace, a.Portion), s.now); ok {
-			g := v.books.Grant(a, groups[i][0].ws.limit, term, v.borrower.Loans(ShardOf(a.Workspace)), s.now, to.member.Name())
+			g := v.books.Grant(a, groups[i][0].ws.limit, term, v.borrower.Loans(KeyOf(a.Workspace, a.Portion)), s.now, to.member.Name())
 			all[i] = &g
 		}
 	}
--- a/io/grant/hold.go
+++ b/io/grant/hold.go
@@ -88,7 +88,7 @@
 	defer d.mu.Unlock()
 	d.holder.SetLease(d.lease())
 	term, ok := d.holder.Term(k, now)
-	return term, d.borrower.Loans(k.Shard()), ok
+	return term, d.borrower.Loans(k), ok
 }
 
 // holds reports whether this VM holds a key, lent or not.
--- a/io/grant/loan.go
+++ b/io/grant/loan.go
@@ -9,36 +9,40 @@
 	"verbenagate/io/logs"
 )
 
-// borrow asks for the other portions of the shards whose main portion this VM holds.
+// loan is a key to borrow, and the key for which it is borrowed.
+type loan struct{ borrower, wanted quota.Key }
+
+// borrow asks for the portions above those that this VM holds.
 func (d *Desk) borrow() {
 	if d.self.Address() == "" || !d.Limited() {
 		return
 	}
-	for address, keys := range d.wantedLoans(d.clock()) {
+	for address, loans := range d.wantedLoans(d.clock()) {
 		if address == d.self.Address() {
-			d.borrowFrom(address, keys)
+			d.borrowFrom(address, loans)
 			continue
 		}
 		d.background.Go(func() {
 			defer logs.RecoverPanic(d.log, "loan of portions")
-			d.borrowFrom(address, keys)
+			d.borrowFrom(address, loans)
 		})
 	}
 }
 
-// wantedLoans returns the keys to borrow, by the address of their holder.
-func (d *Desk) wantedLoans(now time.Time) map[string][]quota.Key {
+// wantedLoans returns the loans to ask for, by the address of the holder.
+func (d *Desk) wantedLoans(now time.Time) map[string][]loan {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.holder.SetLease(d.lease())
-	wanted := make(map[string][]quota.Key)
+	wanted := make(map[string][]loan)
 	for shard := range quota.Shards() {
-		if _, ok := d.holder.Term(quota.MainKey(shard), now); !ok {
+		borrower, ok := d.holder.Borrowing(shard, now)
+		if !ok {
 			continue
 		}
-		for _, k := range quota.Wanted(shard) {
+		for _, k := range quota.Wanted(borrower) {
 			if m, ok := d.asker.FirstCandidate(k); ok {
-				wanted[m.Address()] = append(wanted[m.Address()], k)
+				wanted[m.Address()] = append(wanted[m.Address()], loan{borrower, k})
 			}
 		}
 	}
@@ -46,10 +50,10 @@
 }
 
 // borrowFrom borrows keys from the VM at address.
-func (d *Desk) borrowFrom(address string, keys []quota.Key) {
+func (d *Desk) borrowFrom(address string, loans []loan) {
 	q := loanCall{VM: d.self.Name()}
-	for _, k := range keys {
-		q.Keys = append(q.Keys, key{Shard: k.Shard(), Portion: k.Portion()})
+	for _, l := range loans {
+		q.Keys = append(q.Keys, key{Shard: l.wanted.Shard(), Portion: l.wanted.Portion(), Borrower: l.borrower.Portion()})
 	}
 	sent := d.clock()
 	var r loanReply
@@ -65,9 +69,9 @@
 	now := d.clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for i, life := range r.Lives[:min(len(r.Lives), len(keys))] {
+	for i, life := range r.Lives[:min(len(r.Lives), len(loans))] {
 		if life > 0 {
-			d.borrower.Record(keys[i], sent, life, now)
+			d.borrower.Record(loans[i].borrower, loans[i].wanted, sent, life, now)
 		}
 	}
 }
@@ -80,7 +84,7 @@
 	d.holder.SetLease(d.lease())
 	var r loanReply
 	for _, k := range q.Keys {
-		life, _ := d.holder.Lend(quota.NewKey(k.Shard, k.Portion), q.VM, now)
+		life, _ := d.holder.Lend(quota.NewKey(k.Shard, k.Portion), q.VM, quota.NewKey(k.Shard, k.Borrower), now)
 		r.Lives = append(r.Lives, life)
 	}
 	return r
--- a/io/grant/message.go
+++ b/io/grant/message.go
@@ -46,7 +46,7 @@
 	return answer{Tokens: g.Tokens, Life: g.Life, Spare: g.Spare, SpareLife: g.SpareLife, Retry: g.Retry, Borrowed: g.Borrowed}
 }
 
-// loanCall asks the holder of portions to lend them to the VM that holds the main portions.
+// loanCall asks the holder of portions to lend them to the VM that holds lower ones.
 type loanCall struct {
 	VM   string `cbor:"1,keyasint"` // the caller
 	Keys []key  `cbor:"2,keyasint"`
@@ -54,9 +54,10 @@
 
 // key is the encoded form of a quota.Key.
 type key struct {
-	_       struct{} `cbor:",toarray"`
-	Shard   int
-	Portion int
+	_        struct{} `cbor:",toarray"`
+	Shard    int
+	Portion  int
+	Borrower int // the portion for which it is borrowed
 }
 
 // loanReply has for each key how long it is lent from now on, 0 if it is not.
