--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -54,7 +54,7 @@
 	loan Loan // zero for the portion that the holder holds itself
 }
 
-// Loan is the time for which the holder of the main portion has borrowed another portion.
+// Loan is the time for which the holder of a portion has borrowed another one.
 type Loan struct {
 	Since, Until time.Time
 }
