io/elect, io/pool: check and update only the groups that changed

At 100 VMs and 100 groups, a VM spent most of its processor time on passes over all groups: 20 checks a second, each view of the servers, each list of VMs, also an equal one. A group without a role of this VM is now checked only after a change, groups with unchanged servers keep limits and owners, and watchers come from names hashed once.

--- a/core/lead/fleet.go
+++ b/core/lead/fleet.go
@@ -13,10 +13,15 @@
 type Fleet struct {
 	live    []Member
 	holders int
+	hash    uint64
 }
 
 // NewFleet returns the fleet of live VMs. Holders is how many VMs may hold connections to servers.
-func NewFleet(live []Member, holders int) Fleet { return Fleet{live: live, holders: holders} }
+func NewFleet(live []Member, holders int) Fleet {
+	f := Fleet{live: live, holders: holders}
+	f.hash = f.computeHash()
+	return f
+}
 
 // FleetOf returns the fleet of the members when the store's clock shows storeTime.
 func FleetOf(members []Member, storeTime time.Duration) Fleet {
@@ -29,8 +34,10 @@
 // Holders returns how many VMs may hold connections to servers.
 func (f Fleet) Holders() int { return f.holders }
 
-// Hash returns a hash of the fleet. Fleets with the same hash can be taken for equal.
-func (f Fleet) Hash() uint64 {
+// Hash returns a hash of the fleet, 0 for the zero Fleet. Fleets with the same hash can be taken for equal.
+func (f Fleet) Hash() uint64 { return f.hash }
+
+func (f Fleet) computeHash() uint64 {
 	h := xxhash.New()
 	write := func(s string) {
 		_, _ = h.WriteString(s)
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -181,18 +181,29 @@
 // connection and queries the server several times a second.
 const maxWatchers = 7
 
-// Watchers returns those of the live VMs that watch the primary of group. Every VM with the same list gets the same result.
-func Watchers(live []Member, group string) []Member {
+// Watchers determines which VMs watch the primaries of groups, for one list of live VMs. Every VM with the same list gets the same
+// result. Watchers is immutable.
+type Watchers struct {
+	live  []Member
+	order owner.Names
+}
+
+// NewWatchers returns the watchers for the live VMs.
+func NewWatchers(live []Member) Watchers {
 	names := make([]string, 0, len(live))
 	for _, m := range live {
 		names = append(names, m.name)
 	}
-	top := owner.Top(group, names, maxWatchers)
-	var chosen []Member
-	for _, m := range live {
-		if slices.Contains(top, m.name) {
-			chosen = append(chosen, m)
-		}
+	return Watchers{live: live, order: owner.NewNames(names)}
+}
+
+// Of returns the live VMs that watch the primary of group, in the order of the list.
+func (w Watchers) Of(group string) []Member {
+	top := w.order.Top(group, maxWatchers)
+	slices.Sort(top)
+	chosen := make([]Member, 0, len(top))
+	for _, i := range top {
+		chosen = append(chosen, w.live[i])
 	}
 	return chosen
 }
@@ -375,5 +386,8 @@
 	return w.failures >= minFailures && now.Sub(w.firstFailure) >= unreachableTimeout
 }
 
+// Failing reports whether a request got no answer since the last one that did.
+func (w *FailureDetector) Failing() bool { return w.failures > 0 }
+
 // LastSuccess returns when the last answered request was sent.
 func (w *FailureDetector) LastSuccess() time.Time { return w.lastSuccess }
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -47,17 +47,17 @@
 	for i := range 91 {
 		live = append(live, NewMember(fmt.Sprint("vm", i), 1, time.Second, nil))
 	}
-	a := Watchers(live, "g")
+	a := NewWatchers(live).Of("g")
 	if len(a) != maxWatchers {
 		t.Fatalf("%d VMs were chosen as watchers", len(a))
 	}
 	for _, m := range a {
 		live = slices.DeleteFunc(live, func(l Member) bool { return l.name == m.name })
 	}
-	if b := Watchers(append(live, a...), "g"); len(b) != len(a) {
+	if b := NewWatchers(append(live, a...)).Of("g"); len(b) != len(a) {
 		t.Fatalf("%d VMs were chosen as watchers from the same list in another order", len(b))
 	}
-	if b := Watchers(a[:2], "g"); len(b) != 2 {
+	if b := NewWatchers(a[:2]).Of("g"); len(b) != 2 {
 		t.Fatalf("%d of 2 VMs were chosen as watchers", len(b))
 	}
 }
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -129,6 +129,41 @@
 	return top
 }
 
+// Names orders members for keys as Order does. It hashes the names of the members once, for use with many keys.
+type Names struct {
+	names  []string
+	hashes []uint64
+}
+
+// NewNames returns the order of the members, which must be distinct.
+func NewNames(members []string) Names {
+	o := Names{names: members, hashes: make([]uint64, len(members))}
+	for i, m := range members {
+		o.hashes[i] = xxhash.Sum64String(m)
+	}
+	return o
+}
+
+// Top returns the indices of the first n members in the rendezvous order for key, or of all if there are fewer.
+func (o Names) Top(key string, n int) []int {
+	h := xxhash.Sum64String(key)
+	top := make([]int, 0, n+1)
+	scores := make([]uint64, 0, n+1)
+	for i, m := range o.names {
+		s := score(h, o.hashes[i])
+		at := len(top)
+		for at > 0 && (s > scores[at-1] || s == scores[at-1] && m < o.names[top[at-1]]) {
+			at--
+		}
+		if at >= n {
+			continue
+		}
+		top, scores = slices.Insert(top, at, i), slices.Insert(scores, at, s)
+		top, scores = top[:min(n, len(top))], scores[:min(n, len(scores))]
+	}
+	return top
+}
+
 // Of returns the VM that owns the server at address: the first live VM of the server's data centre in rendezvous order,
 // or of all data centres if the server's data centre has no live VM. It returns false if no VM is live.
 func Of(address, dataCentre string, live Live) (string, bool) {
--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -125,3 +125,19 @@
 	// [vm-1 vm-3 vm-2]
 	// [vm-3 vm-2]
 }
+
+// Guards against a VM that ranks names with hashes made beforehand in another order than a VM that ranks them one by one.
+func TestNamesOrderLikeOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.SliceOfNDistinct(rapid.StringN(1, 12, -1), 0, 40, rapid.ID[string]).Draw(t, "members")
+		key := rapid.String().Draw(t, "key")
+		n := rapid.IntRange(1, 9).Draw(t, "n")
+		var got []string
+		for _, i := range owner.NewNames(members).Top(key, n) {
+			got = append(got, members[i])
+		}
+		if want := owner.Top(key, members, n); !slices.Equal(got, want) {
+			t.Fatalf("the order is %q, want %q", got, want)
+		}
+	})
+}
--- a/io/elect/check.go
+++ b/io/elect/check.go
@@ -32,12 +32,13 @@
 func (e *Elector) checkPrimaries(ctx context.Context) {
 	view := e.view()
 	e.logLeaseLoss()
-	for _, name := range view.Config().Groups() {
+	now := e.clock()
+	for _, name := range e.groupsToCheck(view, now) {
 		pg, ok := e.pools.Group(name)
 		if !ok {
 			continue
 		}
-		a, r := e.decideAction(view, pg, name)
+		a, r := e.decideAction(view, pg, name, now)
 		switch a {
 		case actionProbe:
 			e.background.Go(func() { e.probe(pg, name, r.Server()) })
@@ -54,6 +55,33 @@
 	}
 }
 
+// groupsToCheck returns the groups that may need an action of this VM, none if the VM may not act at all.
+func (e *Elector) groupsToCheck(view *watch.View, now time.Time) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if view != e.checkedView {
+		e.checkedView = view
+		e.checkAll()
+	}
+	if e.stopping || !e.recordsRead || !e.lease.Valid(now) || !e.listed {
+		return nil
+	}
+	var names []string
+	for _, name := range view.Config().Groups() {
+		if !e.group(name).quiet {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// checkAll makes the next check include all groups. The caller holds mu.
+func (e *Elector) checkAll() {
+	for _, g := range e.groups {
+		g.quiet = false
+	}
+}
+
 // logLeaseLoss logs once that the lease has expired.
 func (e *Elector) logLeaseLoss() {
 	e.mu.Lock()
@@ -77,12 +105,11 @@
 }
 
 // decideAction returns the action that a group needs now, with the record on which the decision is based.
-func (e *Elector) decideAction(view *watch.View, pg *pool.Group, name string) (action, lead.Record) {
+func (e *Elector) decideAction(view *watch.View, pg *pool.Group, name string, now time.Time) (action, lead.Record) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	g := e.group(name)
-	now := e.clock()
-	if g.actionRunning || e.stopping || !e.recordsRead || !e.lease.Valid(now) || !e.listed {
+	if g.actionRunning || e.stopping {
 		return actionNone, lead.Record{}
 	}
 	members := pg.Members()
@@ -105,7 +132,9 @@
 	if a := e.detectFailure(g, now, pg.LastDialRefused(g.record.Server()), name); a != actionNone {
 		return a, g.record
 	}
-	if !g.probing && now.Sub(g.detector.LastSuccess()) > probeAfter && (g.suspected || e.isWatcher(name)) {
+	watches := e.isWatcher(name)
+	g.quiet = !watches && !g.suspected && !g.detector.Failing()
+	if !g.probing && now.Sub(g.detector.LastSuccess()) > probeAfter && (g.suspected || watches) {
 		g.probing = true
 		return actionProbe, g.record
 	}
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -64,6 +64,7 @@
 	stableVersion    uint64    // version of the last stable record
 	servingVersion   uint64    // version of the record under which the primary may be used; 0 after this VM confirmed a move
 	detector         lead.FailureDetector
+	quiet            bool // nothing is to be done until a record, the view or the list of VMs changes or the primary does not answer
 	probing          bool
 	suspected        bool
 	actionDueSince   time.Time // since when the group has needed an action; zero if it needs none
@@ -123,7 +124,10 @@
 	grants        lead.Grants
 	members       []lead.Member
 	listed        bool                     // members contains this VM; before, VMs that start together would all act on each group
-	watchers      map[string][]lead.Member // by group; cache derived from members
+	fleetHash     uint64                   // of the fleet with members, 0 before the first one
+	watchRanking  lead.Watchers            // derived from members
+	watchers      map[string][]lead.Member // by group; cache derived from watchRanking
+	checkedView   *watch.View              // the view of the last check of the primaries
 	changed       chan struct{}            // closed and replaced when a record or the lease changes
 	stopping      bool
 }
@@ -297,6 +301,7 @@
 		g.detector.RecordSuccess(sent)
 	} else {
 		g.detector.RecordFailure(sent)
+		g.quiet = false
 	}
 }
 
@@ -393,7 +398,7 @@
 		}
 		g.stableVersion, g.servingVersion = r.Version(), r.Version()
 	}
-	g.record, g.recordSeen = r, now
+	g.record, g.recordSeen, g.quiet = r, now, false
 	if r.Phase() == lead.Stable {
 		if pg, ok := e.pools.Group(group); ok {
 			pg.SetLeader(r.Server(), r.Version())
@@ -504,7 +509,13 @@
 		return
 	}
 	e.mu.Lock()
-	e.members, e.watchers = fleet.Live(), make(map[string][]lead.Member)
+	if fleet.Hash() == e.fleetHash {
+		e.mu.Unlock()
+		return
+	}
+	e.fleetHash, e.members = fleet.Hash(), fleet.Live()
+	e.watchRanking, e.watchers = lead.NewWatchers(e.members), make(map[string][]lead.Member)
+	e.checkAll()
 	e.listed = slices.ContainsFunc(e.members, func(m lead.Member) bool { return m.Name() == e.name })
 	agents := lead.Agents(e.members, e.self.DataCentre())
 	e.mu.Unlock()
@@ -576,7 +587,7 @@
 func (e *Elector) watchersOf(group string) []lead.Member {
 	w, ok := e.watchers[group]
 	if !ok {
-		w = lead.Watchers(e.members, group)
+		w = e.watchRanking.Of(group)
 		if e.watchers != nil {
 			e.watchers[group] = w
 		}
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -51,6 +51,13 @@
 	forwarder     Forwarder
 	paths         Paths
 	departures    map[string]departure // by id of a server that is not registered any more
+	basis         basis                // of the last update
+}
+
+// basis identifies what the limits and owners of a group's servers are derived from, apart from the servers.
+type basis struct {
+	config    uint64 // version of the configuration, 0 before the first update
+	vmsChange uint64 // number of the change of the list of VMs
 }
 
 // Paths tells which data centres this VM cannot reach.
@@ -109,6 +116,18 @@
 	}
 }
 
+// needsUpdate reports whether the servers or the basis of their limits and owners differ from those of the last update, and
+// records the basis. Most changes of the servers concern one group of many.
+func (g *Group) needsUpdate(members []layout.Server, b basis) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if b == g.basis && slices.Equal(members, g.members) {
+		return false
+	}
+	g.basis = b
+	return true
+}
+
 // rebuildTable makes a new routing table. Each VM has its own order of preference among servers of the same cost. If all VMs had
 // the same order, those in data centres without a replica would all read from the same replica. The caller holds mu.
 func (g *Group) rebuildTable() {
@@ -296,6 +315,7 @@
 	vmCount   int
 	live      []lead.Member
 	owners    lead.Owners // derived from live
+	vmsChange uint64      // number of the last change of vmCount and live
 	forwarder Forwarder
 	paths     Paths
 	view      *watch.View
@@ -351,7 +371,10 @@
 			}
 			s.groups[name] = g
 		}
-		members := v.Group(name)
+		members, b := v.Group(name), basis{config: v.Config().Version(), vmsChange: s.vmsChange}
+		if !g.needsUpdate(members, b) {
+			continue
+		}
 		owners := make(map[string][]lead.Member)
 		for _, m := range members {
 			if list := s.ownersOf(m); len(list) > 0 {
@@ -392,6 +415,7 @@
 	changed := n > 0 && (n != s.vmCount || !slices.EqualFunc(live, s.live, sameVM))
 	if changed {
 		s.vmCount, s.live, s.owners = n, live, lead.NewOwners(live)
+		s.vmsChange++
 	}
 	view := s.view
 	s.mu.Unlock()
@@ -408,6 +432,7 @@
 // Trim closes the connections that have reached the idle timeout of their pool or exceed its connection limit. It must be called
 // regularly.
 func (s *Set) Trim() {
+	now := s.clock()
 	for _, g := range s.Groups() {
 		g.mu.Lock()
 		pools := make([]*Pool, 0, len(g.pools))
@@ -416,7 +441,7 @@
 		}
 		g.mu.Unlock()
 		for _, p := range pools {
-			p.trim(g.clock())
+			p.trim(now)
 		}
 	}
 }
--- a/io/watch/directory.go
+++ b/io/watch/directory.go
@@ -45,6 +45,11 @@
 	groups  map[string][]layout.Server
 }
 
+// NewView returns a view of a configuration and of the registered servers by id.
+func NewView(c layout.Config, servers map[string]layout.Server) *View {
+	return &View{config: c, servers: maps.Clone(servers), groups: layout.ByGroup(servers)}
+}
+
 // Config returns the configuration in force.
 func (v *View) Config() layout.Config { return v.config }
 
@@ -118,7 +123,7 @@
 
 // publish makes a copy of the configuration and the servers the current view. The caller holds mu.
 func (d *Directory) publish() {
-	v := &View{config: d.config, servers: maps.Clone(d.servers), groups: layout.ByGroup(d.servers)}
+	v := NewView(d.config, d.servers)
 	d.view.Store(v)
 	d.onChange(v)
 }
