io/elect, io/edge: collect records of primaries for 50 ms after a change

At a start of all VMs each group gets its first record, and each of these woke an agent's call of the store and all VMs of its data centre. The first change still passes at once. Groups that need a check are kept as a list, not sought 20 times a second.

--- a/core/lead/owners_test.go
+++ b/core/lead/owners_test.go
@@ -125,3 +125,18 @@
 		}
 	}
 }
+
+// BenchmarkWatchers determines the watchers of as many groups as there are VMs, as after a change of the list of VMs.
+func BenchmarkWatchers(b *testing.B) {
+	for _, n := range []int{30, 100, 300, 790} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			live := fleetOf(n)
+			for b.Loop() {
+				w := NewWatchers(live)
+				for i := range n {
+					w.Of(fmt.Sprint("group-", i))
+				}
+			}
+		})
+	}
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -42,6 +42,9 @@
 	backgroundTimeout = 150 * time.Millisecond
 	// serverBatchDelay is how long an agent collects changes of servers' entries, each of which changes every second or so.
 	serverBatchDelay = 600 * time.Millisecond
+	// recordBatchDelay is how long an agent collects further changes of primaries' records after it has passed one on. At a start
+	// of all VMs each group gets its first record, and each call would wake all VMs of the data centre.
+	recordBatchDelay = 50 * time.Millisecond
 	// trimInterval is how often connections that have been idle for long are closed, reportInterval how often the number of
 	// sessions and of dropped log lines is reported.
 	trimInterval   = 200 * time.Millisecond
@@ -123,6 +126,7 @@
 	}
 	agents := relay.New(ctx, s.VM(), a.Rows, map[string]relay.Table{
 		a.Source.ServerTable: {BatchDelay: serverBatchDelay, Equal: a.Source.SameServer},
+		elect.LeadTable:      {BatchDelay: recordBatchDelay},
 	}, clients, Clock, log)
 	e.agents = agents
 	e.directory = watch.NewDirectory(ctx, agents, a.Source, Clock, log, func(v *watch.View) {
--- a/io/elect/check.go
+++ b/io/elect/check.go
@@ -66,22 +66,31 @@
 	if e.stopping || !e.recordsRead || !e.lease.Valid(now) || !e.listed {
 		return nil
 	}
-	var names []string
-	for _, name := range view.Config().Groups() {
-		if !e.group(name).quiet {
-			names = append(names, name)
+	if e.dueOutdated {
+		e.due, e.dueOutdated = nil, false
+		for _, name := range view.Config().Groups() {
+			if !e.group(name).quiet {
+				e.due = append(e.due, name)
+			}
 		}
 	}
-	return names
+	return e.due
 }
 
 // checkAll makes the next check include all groups. The caller holds mu.
 func (e *Elector) checkAll() {
+	e.dueOutdated = true
 	for _, g := range e.groups {
 		g.quiet = false
 	}
 }
 
+// setQuiet sets whether checks leave a group out. The caller holds mu.
+func (e *Elector) setQuiet(g *groupState, quiet bool) {
+	e.dueOutdated = e.dueOutdated || g.quiet != quiet
+	g.quiet = quiet
+}
+
 // logLeaseLoss logs once that the lease has expired.
 func (e *Elector) logLeaseLoss() {
 	e.mu.Lock()
@@ -112,8 +121,7 @@
 	if g.actionRunning || e.stopping {
 		return actionNone, lead.Record{}
 	}
-	members := pg.Members()
-	if len(members) == 0 {
+	if !pg.HasMembers() {
 		return actionNone, lead.Record{}
 	}
 	switch {
@@ -133,7 +141,7 @@
 		return a, g.record
 	}
 	watches := e.isWatcher(name)
-	g.quiet = !watches && !g.suspected && !g.detector.Failing()
+	e.setQuiet(g, !watches && !g.suspected && !g.detector.Failing())
 	if !g.probing && now.Sub(g.detector.LastSuccess()) > probeAfter && (g.suspected || watches) {
 		g.probing = true
 		return actionProbe, g.record
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -128,6 +128,8 @@
 	watchRanking  lead.Watchers            // derived from members
 	watchers      map[string][]lead.Member // by group; cache derived from watchRanking
 	checkedView   *watch.View              // the view of the last check of the primaries
+	due           []string                 // the groups that are not quiet
+	dueOutdated   bool                     // due is to be determined again
 	changed       chan struct{}            // closed and replaced when a record or the lease changes
 	stopping      bool
 }
@@ -301,7 +303,7 @@
 		g.detector.RecordSuccess(sent)
 	} else {
 		g.detector.RecordFailure(sent)
-		g.quiet = false
+		e.setQuiet(g, false)
 	}
 }
 
@@ -398,7 +400,8 @@
 		}
 		g.stableVersion, g.servingVersion = r.Version(), r.Version()
 	}
-	g.record, g.recordSeen, g.quiet = r, now, false
+	g.record, g.recordSeen = r, now
+	e.setQuiet(g, false)
 	if r.Phase() == lead.Stable {
 		if pg, ok := e.pools.Group(group); ok {
 			pg.SetLeader(r.Server(), r.Version())
--- a/io/elect/records.go
+++ b/io/elect/records.go
@@ -11,9 +11,12 @@
 	"verbenagate/core/result"
 )
 
+// LeadTable is the table with the records of the groups' primaries and the epoch.
+const LeadTable = "verbenagate-lead"
+
 // Tables and keys in the platform's store. All rows of a table are in one partition, so that one transaction can span them.
 const (
-	leadTable   = "verbenagate-lead"
+	leadTable   = LeadTable
 	memberTable = "verbenagate-vms"
 	epochKey    = "epoch"
 	groupPrefix = "group/"
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -81,6 +81,13 @@
 	return append([]layout.Server(nil), g.members...)
 }
 
+// HasMembers reports whether the group has servers.
+func (g *Group) HasMembers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.members) > 0
+}
+
 // update sets the members of the group, the limits of their pools, and the owners of those servers that have one.
 func (g *Group) update(members []layout.Server, limitsOf func(layout.Server) limits, owners map[string][]lead.Member) {
 	g.mu.Lock()
