--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -40,8 +40,9 @@
 	stopReserve = 500 * time.Millisecond
 	// backgroundTimeout bounds the wait for background goroutines at the end of a stop.
 	backgroundTimeout = 150 * time.Millisecond
-	// serverBatchDelay is how long an agent collects changes of servers' entries, each of which changes every second or so.
-	serverBatchDelay = 600 * time.Millisecond
+	// serverBatchDelay is how long an agent collects changes of servers' entries. Each server writes its entry every second or so,
+	// and a shorter delay costs a call for the entries of some of them.
+	serverBatchDelay = time.Second
 	// recordBatchDelay is how long an agent collects further changes of primaries' records after it has passed one on. At a start
 	// of all VMs each group gets its first record, and each call would wake all VMs of the data centre.
 	recordBatchDelay = 50 * time.Millisecond
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -8,6 +8,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,10 +33,12 @@
 	// probeTimeout bounds a status request to a primary.
 	probeTimeout = 400 * time.Millisecond
 	// memberReadInterval is how often the list of VMs is read on average; suspectReadInterval applies while a watched primary is suspected.
-	memberReadInterval  = 5 * time.Second
+	memberReadInterval  = 2500 * time.Millisecond
 	suspectReadInterval = 100 * time.Millisecond
-	// fleetMaxAge is how old the list of VMs may be while no primary is suspected.
-	fleetMaxAge = time.Second
+	// fleetMaxAge is how old the list of VMs may be while no primary is suspected. It is changedFleetMaxAge after this VM has
+	// granted a lease that changes the list.
+	fleetMaxAge        = 4 * time.Second
+	changedFleetMaxAge = time.Second
 	// startupReadInterval applies while the list names at most one VM: after a start it may lack most of them.
 	startupReadInterval = 800 * time.Millisecond
 	// rankDelay staggers the VMs that may act on a group, so that normally only one of them acts.
@@ -85,8 +88,8 @@
 	port.RowReader
 	// ReadFleet returns the live VMs as of at most maxAge ago.
 	ReadFleet(ctx context.Context, maxAge time.Duration) (lead.Fleet, error)
-	// Renew renews this VM's lease, or gives it up if leave is set.
-	Renew(ctx context.Context, m lead.Member, leave bool) error
+	// Renew renews this VM's lease, or gives it up if leave is set. It returns when the next renewal is due, 0 if that is unknown.
+	Renew(ctx context.Context, m lead.Member, leave bool) (next time.Duration, err error)
 	// SetAgents sets the VMs that act as agents.
 	SetAgents(agents []lead.Member)
 }
@@ -113,6 +116,8 @@
 	fleet       lead.Fleet
 	fleetReadAt time.Time // when the call that returned fleet was made
 
+	fleetChanged atomic.Bool // this VM has granted or ended a lease that changes the list of VMs since the list was read
+
 	mu            sync.Mutex
 	groups        map[string]*groupState
 	epoch         uint64
@@ -120,7 +125,8 @@
 	lease         lead.Lease
 	leaseHeld     bool
 	storeClock    lead.StoreClock
-	ownRowVersion uint64 // version of this VM's row; 0 if unknown
+	nextBatch     time.Time // when the next regular batch of renewals begins
+	ownRowVersion uint64    // version of this VM's row; 0 if unknown
 	grants        lead.Grants
 	members       []lead.Member
 	listed        bool                     // members contains this VM; before, VMs that start together would all act on each group
@@ -432,8 +438,11 @@
 
 // renewAndWait renews the lease and waits until the next renewal is due or requested.
 func (e *Elector) renewAndWait(ctx context.Context) {
-	next := lead.RenewInterval
-	if err := e.renewLease(ctx); err != nil {
+	next, err := e.renewLease(ctx)
+	switch {
+	case err == nil && next <= 0:
+		next = lead.RenewInterval
+	case err != nil:
 		next = minRenewRetryDelay + time.Duration(retry.Jitter()*float64(minRenewRetryDelay))
 		if !errors.Is(err, port.ErrConflict) {
 			e.log.Event(event.StoreDown, zap.String("table", memberTable), zap.Error(err))
@@ -448,10 +457,11 @@
 	}
 }
 
-// renewLease confirms the newest epoch that this VM has seen and extends the lease.
-func (e *Elector) renewLease(ctx context.Context) error {
+// renewLease confirms the newest epoch that this VM has seen and extends the lease. It returns when the next renewal is due, 0 if
+// that is unknown.
+func (e *Elector) renewLease(ctx context.Context) (next time.Duration, err error) {
 	if !e.awaitPrimaryUses(ctx) {
-		return nil
+		return 0, nil
 	}
 	e.mu.Lock()
 	sent, epoch := e.clock(), e.epoch
@@ -467,8 +477,9 @@
 	e.mu.Unlock()
 	slices.Sort(suspected)
 	m := lead.NewMember(e.name, epoch, 0, suspected).WithLocation(e.self.DataCentre(), e.self.Address()).WithCores(e.self.Cores())
-	if err := e.agents.Renew(ctx, m, false); err != nil {
-		return err
+	next, err = e.agents.Renew(ctx, m, false)
+	if err != nil {
+		return 0, err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -478,7 +489,7 @@
 		e.log.Event(event.LeaseRenewed, zap.Uint64("epoch", epoch))
 		e.notifyChanged()
 	}
-	return nil
+	return next, nil
 }
 
 // awaitPrimaryUses waits until no work uses a primary that is being replaced, but at most maxConfirmDelay from when this VM saw
@@ -504,8 +515,11 @@
 // be fresh.
 func (e *Elector) readMembers(ctx context.Context) {
 	maxAge := fleetMaxAge
-	if e.isWatchedPrimarySuspected() {
+	switch {
+	case e.isWatchedPrimarySuspected():
 		maxAge = suspectReadInterval
+	case !e.isListed():
+		maxAge = startupReadInterval
 	}
 	fleet, err := e.agents.ReadFleet(ctx, maxAge)
 	if err != nil {
@@ -532,9 +546,13 @@
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
 	sent := e.clock()
+	if e.fleetChanged.Load() {
+		maxAge = min(maxAge, changedFleetMaxAge)
+	}
 	if !e.fleetReadAt.IsZero() && sent.Sub(e.fleetReadAt) < maxAge {
 		return e.fleet, nil
 	}
+	e.fleetChanged.Store(false)
 	s, err := e.rows.List(ctx, memberTable)
 	if err != nil {
 		return lead.Fleet{}, err
@@ -556,13 +574,18 @@
 	return members
 }
 
+// isListed reports whether the list of VMs names this VM and another one.
+func (e *Elector) isListed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.listed && len(e.members) > 1
+}
+
 func (e *Elector) memberReadDelay() time.Duration {
 	if e.isWatchedPrimarySuspected() {
 		return suspectReadInterval
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if len(e.members) <= 1 || !e.listed {
+	if !e.isListed() {
 		return startupReadInterval
 	}
 	return memberReadInterval*3/4 + time.Duration(retry.Jitter()*float64(memberReadInterval)/2)
@@ -610,7 +633,7 @@
 	m := lead.NewMember(e.name, e.epoch, 0, nil).WithLocation(e.self.DataCentre(), e.self.Address()).WithCores(e.self.Cores())
 	e.lease = lead.Lease{}
 	e.mu.Unlock()
-	if err := e.agents.Renew(ctx, m, true); err != nil {
+	if _, err := e.agents.Renew(ctx, m, true); err != nil {
 		e.log.Event(event.StoreDown, zap.String("table", memberTable), zap.Error(err))
 	}
 }
--- a/io/elect/grant.go
+++ b/io/elect/grant.go
@@ -14,7 +14,7 @@
 
 const (
 	// batchWindow is how long renewals are collected for one transaction; urgentBatchWindow applies once one of them is urgent.
-	batchWindow       = 500 * time.Millisecond
+	batchWindow       = 250 * time.Millisecond
 	urgentBatchWindow = 15 * time.Millisecond
 )
 
@@ -25,8 +25,21 @@
 	done   chan error
 }
 
-// Grant implements relay.Granter. It waits until the transaction with the renewal has ended.
-func (e *Elector) Grant(ctx context.Context, m lead.Member, leave bool) error {
+// minNextRenewal is the shortest time from a renewal to the next one.
+const minNextRenewal = 20 * time.Millisecond
+
+// Grant implements relay.Granter. It waits until the transaction with the renewal has ended. VMs that renew their leases when the
+// next regular batch begins share its transaction, whenever their first renewals were.
+func (e *Elector) Grant(ctx context.Context, m lead.Member, leave bool) (next time.Duration, err error) {
+	if err := e.grant(ctx, m, leave); err != nil {
+		return 0, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(e.nextBatch.Sub(e.clock()), minNextRenewal), nil
+}
+
+func (e *Elector) grant(ctx context.Context, m lead.Member, leave bool) error {
 	r := &renewRequest{member: m, leave: leave, done: make(chan error, 1)}
 	select {
 	case e.renewRequests <- r:
@@ -90,13 +103,25 @@
 				t.Reset(batchWindow)
 			}
 			batch = append(batch, r)
+			e.scheduleNextBatch(now)
 			if e.isUrgent(r) {
+				e.fleetChanged.Store(true)
 				t.Reset(max(urgentBatchWindow-now.Sub(firstReceived), 0))
 			}
 		}
 	}
 }
 
+// scheduleNextBatch sets when the next regular batch begins, if that time has come. A batch in between, of VMs that were late or of
+// urgent renewals, does not change it.
+func (e *Elector) scheduleNextBatch(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !now.Before(e.nextBatch) {
+		e.nextBatch = now.Add(batchWindow + lead.RenewInterval)
+	}
+}
+
 func (e *Elector) isUrgent(r *renewRequest) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/io/relay/hub.go
+++ b/io/relay/hub.go
@@ -16,7 +16,7 @@
 	// firstListTimeout is how long a call waits until a table has been listed for the first time.
 	firstListTimeout = 1500 * time.Millisecond
 	// idleFollowDuration is how long a table is still followed after the last call that used it.
-	idleFollowDuration = 10 * time.Second
+	idleFollowDuration = 3 * time.Second
 	// maxTombstones is the maximum number of deleted rows that are kept per table.
 	maxTombstones = 1000
 )
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -90,6 +90,8 @@
 	Rows     []row         `cbor:"4,keyasint,omitempty"`
 	Version  uint64        `cbor:"5,keyasint,omitempty"`
 	StoreNow time.Duration `cbor:"6,keyasint,omitempty"`
+	// NextRenewal is the time until the VM's next renewal shares a transaction with others, in the answer to a renewal.
+	NextRenewal time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // row is a row of a table in a reply.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -27,6 +27,9 @@
 	listTimeout = 2 * time.Second
 	// changesGrace is added to the requested wait of a call for changes to get the time limit for the agent's reply.
 	changesGrace = 2 * time.Second
+	// otherAgentWait bounds a call for changes at another agent than the first one. As long as such a call waits, two agents follow
+	// the table in the store.
+	otherAgentWait = 5 * time.Second
 	// failedAgentPause is how long an agent is not called after a failure.
 	failedAgentPause = 3 * time.Second
 	// agentsWaitTimeout is how long List waits after the start for SetAgents to name the agents. VMs that start together would
@@ -36,9 +39,9 @@
 
 // Granter renews leases in the store for this VM and for others.
 type Granter interface {
-	// Grant renews the lease of a VM, or gives it up if leave is set. It returns port.ErrConflict if the VM has not seen the
-	// newest epoch.
-	Grant(ctx context.Context, m lead.Member, leave bool) error
+	// Grant renews the lease of a VM, or gives it up if leave is set, and returns how long until the next renewal shares a
+	// transaction with those of other VMs. It returns port.ErrConflict if the VM has not seen the newest epoch.
+	Grant(ctx context.Context, m lead.Member, leave bool) (next time.Duration, err error)
 	// ReadFleet returns the live VMs as of at most maxAge ago.
 	ReadFleet(ctx context.Context, maxAge time.Duration) (lead.Fleet, error)
 }
@@ -60,11 +63,15 @@
 	endAgentsWait context.CancelFunc // ends agentsWait
 	agentsWait    context.Context
 	fleet         lead.Fleet // the last one received from an agent
-	calls         map[string]map[*pendingCall]bool
+	calls         map[string]map[*pendingCall]bool // by agent, this VM included
 }
 
-// pendingCall is a call that waits for the reply of an agent.
-type pendingCall struct{ cancel context.CancelFunc }
+// pendingCall is a call that waits for the reply of an agent, or for changes on this VM.
+type pendingCall struct {
+	cancel context.CancelFunc
+	waits  bool // for changes of a table
+	moved  bool // canceled since another agent has become the first one; guarded by Relay.mu
+}
 
 // New returns the relay of the VM self. Until SetAgents names other VMs, it calls the store itself. Tables says how the VM follows
 // tables on behalf of others. It follows none any more when ctx ends.
@@ -88,7 +95,10 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 		defer cancel()
-		return newReply(port.Snapshot{}, r.granterOf().Grant(ctx, q.member(), q.Leave)), nil
+		next, err := r.granterOf().Grant(ctx, q.member(), q.Leave)
+		answer := newReply(port.Snapshot{}, err)
+		answer.NextRenewal = next
+		return answer, nil
 	})
 	s.Handle(link.List, func(ctx context.Context, _ *link.Inbound, c link.Call) (any, error) {
 		var q listCall
@@ -110,7 +120,11 @@
 		if err := c.Decode(&q); err != nil {
 			return nil, err
 		}
-		return newReply(r.hub.Changes(ctx, q.Table, q.After, q.Wait)), nil
+		wait := q.Wait
+		if !r.isFirstAgent(r.self) {
+			wait = min(wait, otherAgentWait)
+		}
+		return newReply(r.localChanges(ctx, r.hub, q.Table, q.After, wait)), nil
 	})
 }
 
@@ -131,6 +145,14 @@
 	defer r.mu.Unlock()
 	if len(agents) > 0 && (len(r.agents) == 0 || r.agents[0].Name() != agents[0].Name()) {
 		r.log.Event(event.AgentChanged, zap.String("agent", agents[0].Name()), zap.String("address", agents[0].Address()))
+		for name, calls := range r.calls {
+			for c := range calls {
+				if c.waits && name != agents[0].Name() {
+					c.moved = true
+					c.cancel()
+				}
+			}
+		}
 	}
 	r.agents = agents
 	if len(agents) > 0 {
@@ -144,12 +166,18 @@
 	return r.granter
 }
 
-// Renew renews the lease of this VM through an agent, or gives it up if leave is set.
-func (r *Relay) Renew(ctx context.Context, m lead.Member, leave bool) error {
-	_, err := callFirstAvailable(ctx, r, func() (port.Snapshot, error) {
-		return port.Snapshot{}, r.granterOf().Grant(ctx, m, leave)
-	}, r.snapshotCall(ctx, agentCall{method: link.Renew, args: newRenewCall(m, leave), timeout: renewTimeout}))
-	return err
+// Renew renews the lease of this VM through an agent, or gives it up if leave is set. It returns when the next renewal is due, 0 if
+// that is unknown.
+func (r *Relay) Renew(ctx context.Context, m lead.Member, leave bool) (next time.Duration, err error) {
+	return callFirstAvailable(ctx, r, func() (time.Duration, error) {
+		return r.granterOf().Grant(ctx, m, leave)
+	}, func(a lead.Member) (time.Duration, error) {
+		answer, err := r.call(ctx, a, agentCall{method: link.Renew, args: newRenewCall(m, leave), timeout: renewTimeout})
+		if err == nil {
+			_, err = answer.snapshot("")
+		}
+		return answer.NextRenewal, err
+	})
 }
 
 // List implements port.RowReader. The rows may be older than the call if an agent follows the table.
@@ -168,7 +196,7 @@
 		r.mu.Lock()
 		known := r.fleet
 		r.mu.Unlock()
-		ctx, end := r.startCall(ctx, a.Name())
+		ctx, end := r.startCall(ctx, a.Name(), &pendingCall{})
 		defer end()
 		var answer fleetReply
 		_, err := r.clients.Call(ctx, a.Address(), link.Fleet, fleetCall{Known: known.Hash(), MaxAge: maxAge}, &answer,
@@ -189,10 +217,36 @@
 // Changes implements port.RowReader.
 func (r *Relay) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (port.Snapshot, error) {
 	return callFirstAvailable(ctx, r, func() (port.Snapshot, error) {
-		return r.tableReader().Changes(ctx, table, after, wait)
-	}, r.snapshotCall(ctx, agentCall{
-		method: link.Changes, args: changesCall{Table: table, After: after, Wait: wait}, table: table, timeout: wait + changesGrace,
-	}))
+		return r.localChanges(ctx, r.tableReader(), table, after, wait)
+	}, func(a lead.Member) (port.Snapshot, error) {
+		wait := wait
+		if !r.isFirstAgent(a.Name()) {
+			wait = min(wait, otherAgentWait)
+		}
+		return r.snapshotCall(ctx, agentCall{
+			method: link.Changes, args: changesCall{Table: table, After: after, Wait: wait}, table: table, timeout: wait + changesGrace,
+			waits: true,
+		})(a)
+	})
+}
+
+// localChanges waits for changes on this VM. It returns none if another VM becomes the first agent meanwhile.
+func (r *Relay) localChanges(ctx context.Context, rows port.RowReader, table string, after uint64, wait time.Duration,
+) (port.Snapshot, error) {
+	c := &pendingCall{waits: true}
+	ctx, end := r.startCall(ctx, r.self, c)
+	defer end()
+	s, err := rows.Changes(ctx, table, after, wait)
+	if err != nil && r.hasMoved(c) {
+		return port.Snapshot{}, nil
+	}
+	return s, err
+}
+
+func (r *Relay) isFirstAgent(vm string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.agents) > 0 && r.agents[0].Name() == vm
 }
 
 // agentCall is a call to an agent.
@@ -201,6 +255,7 @@
 	args    any
 	table   string // whose rows the call returns, if any
 	timeout time.Duration
+	waits   bool // for changes
 }
 
 // tableReader returns what this VM reads tables from when it makes a call itself: the hub if the VM is an agent, else the store.
@@ -262,10 +317,7 @@
 // snapshotCall returns the function that makes the call q at an agent.
 func (r *Relay) snapshotCall(ctx context.Context, q agentCall) func(a lead.Member) (port.Snapshot, error) {
 	return func(a lead.Member) (port.Snapshot, error) {
-		ctx, end := r.startCall(ctx, a.Name())
-		defer end()
-		var answer reply
-		_, err := r.clients.Call(ctx, a.Address(), q.method, q.args, &answer, link.Options{Timeout: q.timeout, Ping: link.SlowPing})
+		answer, err := r.call(ctx, a, q)
 		if err != nil {
 			return port.Snapshot{}, err
 		}
@@ -273,10 +325,29 @@
 	}
 }
 
+// call makes the call q at an agent. A call for changes that ends since another agent has become the first one returns no changes.
+func (r *Relay) call(ctx context.Context, a lead.Member, q agentCall) (reply, error) {
+	c := &pendingCall{waits: q.waits}
+	ctx, end := r.startCall(ctx, a.Name(), c)
+	defer end()
+	var answer reply
+	_, err := r.clients.Call(ctx, a.Address(), q.method, q.args, &answer, link.Options{Timeout: q.timeout, Ping: link.SlowPing})
+	if err != nil && r.hasMoved(c) {
+		return reply{Code: codeOK}, nil
+	}
+	return answer, err
+}
+
+func (r *Relay) hasMoved(c *pendingCall) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return c.moved
+}
+
 // startCall registers a call that waits for the reply of an agent. The returned function must be called at its end.
-func (r *Relay) startCall(ctx context.Context, agent string) (context.Context, func()) {
+func (r *Relay) startCall(ctx context.Context, agent string, c *pendingCall) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	c := &pendingCall{cancel: cancel}
+	c.cancel = cancel
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.calls[agent] == nil {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -129,11 +129,11 @@
 	fleetReads int
 }
 
-func (g *fakeGranter) Grant(_ context.Context, m lead.Member, leave bool) error {
+func (g *fakeGranter) Grant(_ context.Context, m lead.Member, leave bool) (time.Duration, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.renewals = append(g.renewals, fmt.Sprint(m.Name(), " ", m.Epoch(), " ", m.Suspected(), " ", m.DataCentre(), " ", leave))
-	return g.err
+	return testNextRenewal, g.err
 }
 
 func (g *fakeGranter) ReadFleet(context.Context, time.Duration) (lead.Fleet, error) {
@@ -184,6 +184,18 @@
 	return v
 }
 
+// testNextRenewal is what a fakeGranter returns as the time until the next renewal.
+const testNextRenewal = 700 * time.Millisecond
+
+// renew renews or ends the VM's lease. The time until the next renewal must be the granter's, whichever VM it is on.
+func (v *vm) renew(t *testing.T, leave bool) error {
+	next, err := v.Renew(t.Context(), v.member(), leave)
+	if err == nil && next != testNextRenewal {
+		t.Errorf("the next renewal is due in %s, want %s", next, testNextRenewal)
+	}
+	return err
+}
+
 func (v *vm) member() lead.Member {
 	return lead.NewMember(v.self, 7, 0, []string{"g"}).WithLocation("dc", v.address)
 }
@@ -260,17 +272,17 @@
 	for _, each := range []*vm{first, second, v} {
 		each.SetAgents(agents)
 	}
-	g.Expect(v.Renew(t.Context(), v.member(), false)).To(gomega.Succeed(), "the first agent cannot reach the store")
+	g.Expect(v.renew(t, false)).To(gomega.Succeed(), "the first agent cannot reach the store")
 	g.Expect(first.granter.recordedRenewals()).To(gomega.Equal([]string{"vm 7 [g] dc false"}))
 	g.Expect(second.granter.recordedRenewals()).To(gomega.Equal([]string{"vm 7 [g] dc false"}))
 	s, err := v.List(t.Context(), "t")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(s.Rows).To(gomega.HaveLen(1))
-	g.Expect(first.Renew(t.Context(), first.member(), false)).To(gomega.Succeed(),
+	g.Expect(first.renew(t, false)).To(gomega.Succeed(),
 		"an agent that cannot reach the store calls the next one")
 	second.stop()
 	v.granter.err = nil
-	g.Expect(v.Renew(t.Context(), v.member(), true)).To(gomega.Succeed())
+	g.Expect(v.renew(t, true)).To(gomega.Succeed())
 	g.Expect(v.granter.recordedRenewals()).To(gomega.Equal([]string{"vm 7 [g] dc true"}), "no agent is left")
 }
 
@@ -280,7 +292,7 @@
 	agent, v := newVM(t, "agent", newFakeStore()), newVM(t, "vm", newFakeStore())
 	agent.granter.err = port.ErrConflict
 	v.SetAgents([]lead.Member{agent.member()})
-	g.Expect(v.Renew(t.Context(), v.member(), false)).To(gomega.MatchError(port.ErrConflict))
+	g.Expect(v.renew(t, false)).To(gomega.MatchError(port.ErrConflict))
 	g.Expect(v.granter.recordedRenewals()).To(gomega.BeEmpty())
 	g.Expect(v.availableAgents()).To(gomega.HaveLen(1))
 }
@@ -400,7 +412,7 @@
 // panickingGranter panics over the renewals of one VM.
 type panickingGranter struct{ fakeGranter }
 
-func (g *panickingGranter) Grant(ctx context.Context, m lead.Member, leave bool) error {
+func (g *panickingGranter) Grant(ctx context.Context, m lead.Member, leave bool) (time.Duration, error) {
 	if m.Name() == "poison" {
 		panic("malformed renewal")
 	}
@@ -418,11 +430,11 @@
 	agents := []lead.Member{agent.member()}
 	neighbour.SetAgents(agents)
 	poison.SetAgents(agents)
-	g.Expect(neighbour.Renew(t.Context(), neighbour.member(), false)).To(gomega.Succeed())
+	g.Expect(neighbour.renew(t, false)).To(gomega.Succeed())
 
-	g.Expect(poison.Renew(t.Context(), poison.member(), false)).To(gomega.Succeed())
+	g.Expect(poison.renew(t, false)).To(gomega.Succeed())
 	g.Expect(poison.granter.recordedRenewals()).To(gomega.HaveLen(1), "the agent could not carry out the call")
-	g.Expect(neighbour.Renew(t.Context(), neighbour.member(), false)).To(gomega.Succeed())
+	g.Expect(neighbour.renew(t, false)).To(gomega.Succeed())
 	g.Expect(granter.recordedRenewals()).To(gomega.HaveLen(2))
 	g.Expect(neighbour.granter.recordedRenewals()).To(gomega.BeEmpty(), "the agent made both calls")
 }
@@ -487,7 +499,7 @@
 	}, testTimeout).Should(gomega.Equal(1))
 	shared.put("b", "2", false)
 	first.granter.err = errDown
-	g.Expect(v.Renew(t.Context(), v.member(), false)).To(gomega.Succeed())
+	g.Expect(v.renew(t, false)).To(gomega.Succeed())
 	var changes port.Snapshot
 	g.Eventually(got, testTimeout).Should(gomega.Receive(&changes))
 	g.Expect(changes.Rows).To(gomega.HaveLen(1))
