--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -62,7 +62,7 @@
 	granter       Granter
 	endAgentsWait context.CancelFunc // ends agentsWait
 	agentsWait    context.Context
-	fleet         lead.Fleet // the last one received from an agent
+	fleet         lead.Fleet                       // the last one received from an agent
 	calls         map[string]map[*pendingCall]bool // by agent, this VM included
 }
 
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -505,3 +505,51 @@
 	g.Expect(changes.Rows).To(gomega.HaveLen(1))
 	g.Expect(changes.Rows[0].Key).To(gomega.Equal("b"))
 }
+
+// Guards against tables that two agents of a data centre follow in the store for as long as calls for changes wait at an agent that
+// is not the first one any more, as after a start of all VMs: each of them made as many calls as the first agent.
+func TestWaitingCallsMoveToFirstAgent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFakeStore()
+	f.put("a", "1", false)
+	first, old, v := newVM(t, "first", f), newVM(t, "old", f), newVM(t, "vm", newFakeStore())
+	for _, each := range []*vm{old, v} {
+		each.SetAgents([]lead.Member{old.member()})
+	}
+	s, err := v.List(t.Context(), "t")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	agents := []lead.Member{first.member(), old.member()}
+	for name, move := range map[string]func(){
+		"at the VM":    func() { v.SetAgents(agents) },
+		"at the agent": func() { old.SetAgents(agents) },
+	} {
+		v.SetAgents(agents[1:])
+		old.SetAgents(agents[1:])
+		ended := make(chan error, 2)
+		for _, each := range []*vm{old, v} {
+			go func() {
+				got, err := each.Changes(t.Context(), "t", s.Version, time.Hour)
+				if len(got.Rows) > 0 {
+					err = fmt.Errorf("unexpected changes %v", got.Rows)
+				}
+				ended <- err
+			}()
+		}
+		g.Eventually(func() int {
+			old.mu.Lock()
+			defer old.mu.Unlock()
+			return len(old.calls["old"])
+		}, testTimeout).Should(gomega.Equal(2))
+		move()
+		old.SetAgents(agents)
+		for range 2 {
+			g.Eventually(ended, testTimeout).Should(gomega.Receive(gomega.BeNil()), name)
+		}
+		g.Expect(v.availableAgents()).To(gomega.HaveLen(len(v.agents)), "no agent has failed")
+	}
+	g.Eventually(func() int {
+		old.hub.mu.Lock()
+		defer old.hub.mu.Unlock()
+		return len(old.hub.followed)
+	}, 2*idleFollowDuration).Should(gomega.BeZero(), "the old agent follows no table")
+}
