core/lead, io/pool: revise owners after a change of the list of VMs

Owners of all servers were determined anew among all VMs of a data centre at each change of the list. Now only the VMs that joined are compared with the owners so far, unless one of these has left. TestRevisedOwnersAreTheOwners compares both ways.

--- a/core/lead/owners_test.go
+++ b/core/lead/owners_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"pgregory.net/rapid"
 	"time"
 )
 
@@ -140,3 +142,38 @@
 		})
 	}
 }
+
+// Guards against owners that differ between VMs, some of which determined them anew and others from the last list of VMs: statements
+// would go to VMs that do not own the server.
+func TestRevisedOwnersAreTheOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drawList := func(label string) []Member {
+			var live []Member
+			for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 11), 0, 10, rapid.ID[int]).Draw(t, label) {
+				address := rapid.SampledFrom([]string{"", "1", "1", "1", "2"}).Draw(t, "address")
+				cores := rapid.SampledFrom([]float64{0, 0.2, 0.2, 0.8}).Draw(t, "cores")
+				live = append(live, NewMember(fmt.Sprint("vm", i), 0, 0, nil).WithLocation(fmt.Sprint("dc", i%3), address).WithCores(cores))
+			}
+			return live
+		}
+		describe := func(all []Member) string {
+			var text string
+			for _, m := range all {
+				text += fmt.Sprint(m.name, m.dataCentre, m.address, m.cores, " ")
+			}
+			return text
+		}
+		owners := NewOwners(drawList("first list"))
+		for range 4 {
+			next := owners.Next(drawList("list"))
+			for i := range 20 {
+				server, dc := fmt.Sprint("server", i), fmt.Sprint("dc", i%4)
+				want, got := next.Of(server, dc), next.Revise(server, dc, owners.Of(server, dc))
+				if describe(got) != describe(want) {
+					t.Fatalf("owners of %s in %s: %s, want %s", server, dc, describe(got), describe(want))
+				}
+			}
+			owners = next
+		}
+	})
+}
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -123,16 +123,21 @@
 	}
 }
 
-// needsUpdate reports whether the servers or the basis of their limits and owners differ from those of the last update, and
-// records the basis. Most changes of the servers concern one group of many.
-func (g *Group) needsUpdate(members []layout.Server, b basis) bool {
+// beginUpdate reports whether the servers or the basis of their limits and owners differ from those of the last update, and records
+// the basis. Most changes of the servers concern one group of many. It returns the owners by server if they were determined for the
+// last list of VMs but one.
+func (g *Group) beginUpdate(members []layout.Server, b basis) (old map[string][]lead.Member, needed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if b == g.basis && slices.Equal(members, g.members) {
-		return false
+	same := slices.Equal(members, g.members)
+	if same && b == g.basis {
+		return nil, false
+	}
+	if same && b.vmsChange == g.basis.vmsChange+1 {
+		old = g.owners
 	}
 	g.basis = b
-	return true
+	return old, true
 }
 
 // rebuildTable makes a new routing table. Each VM has its own order of preference among servers of the same cost. If all VMs had
@@ -379,12 +384,13 @@
 			s.groups[name] = g
 		}
 		members, b := v.Group(name), basis{config: v.Config().Version(), vmsChange: s.vmsChange}
-		if !g.needsUpdate(members, b) {
+		old, needed := g.beginUpdate(members, b)
+		if !needed {
 			continue
 		}
 		owners := make(map[string][]lead.Member)
 		for _, m := range members {
-			if list := s.ownersOf(m); len(list) > 0 {
+			if list := s.ownersOf(m, old[m.ID()]); len(list) > 0 {
 				owners[m.ID()] = list
 			}
 		}
@@ -393,13 +399,13 @@
 	}
 }
 
-// ownersOf returns the VMs that may hold the shared connections to a server, or none if each VM uses connections of its own. The
-// caller holds mu.
-func (s *Set) ownersOf(server layout.Server) []lead.Member {
+// ownersOf returns the VMs that may hold the shared connections to a server, or none if each VM uses connections of its own. Old is
+// what it returned for the last list of VMs but one, none if that is unknown. The caller holds mu.
+func (s *Set) ownersOf(server layout.Server, old []lead.Member) []lead.Member {
 	if s.forwarder == nil || !layout.NeedsOwner(server.Slots(), s.vmCount) {
 		return nil
 	}
-	return s.owners.Of(server.ID(), server.DataCentre())
+	return s.owners.Revise(server.ID(), server.DataCentre(), old)
 }
 
 // limitsFor returns the limits of this VM's use of a server that accepts limit connections.
@@ -421,7 +427,7 @@
 	s.mu.Lock()
 	changed := n > 0 && (n != s.vmCount || !slices.EqualFunc(live, s.live, sameVM))
 	if changed {
-		s.vmCount, s.live, s.owners = n, live, lead.NewOwners(live)
+		s.vmCount, s.live, s.owners = n, live, s.owners.Next(live)
 		s.vmsChange++
 	}
 	view := s.view
--- a/io/pool/scale_test.go
+++ b/io/pool/scale_test.go
@@ -69,6 +69,13 @@
 	s.Update(viewOf(30, 1, true))
 	g.Expect(group.Members()[0].Draining()).To(gomega.BeTrue())
 	g.Expect(other.Members()).To(gomega.HaveLen(3))
+	for n := 31; n <= 33; n++ {
+		s.SetMembers(membersOf(n), n)
+		want := lead.NewOwners(membersOf(n))
+		for _, server := range other.Members() {
+			g.Expect(ownersOf(other, server.ID())).To(gomega.Equal(want.Of(server.ID(), server.DataCentre())))
+		}
+	}
 	s.SetMembers(membersOf(20), 20)
 	g.Expect(ownersOf(other, "g-001-0")).To(gomega.BeEmpty(), "20 VMs use connections of their own")
 	p, _ := other.Pool("g-001-0")
