io/elect: one list of VMs at a VM's start in place of two

A VM listed the table of leases once for the list of VMs and once for the version of its own row. Before its first transaction the first list serves both: a transaction on a version that is too old fails and reads it again, as before.

--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -114,7 +114,9 @@
 
 	fleetMu     sync.Mutex // held while the list of VMs is read, so that concurrent calls share one read
 	fleet       lead.Fleet
-	fleetReadAt time.Time // when the call that returned fleet was made
+	fleetReadAt time.Time  // when the call that returned fleet was made
+	memberRows  []port.Row // the rows of that call until the first transaction of this VM
+	committed   bool       // this VM has begun a transaction of leases
 
 	fleetChanged atomic.Bool // this VM has granted or ended a lease that changes the list of VMs since the list was read
 
@@ -552,17 +554,30 @@
 	if !e.fleetReadAt.IsZero() && sent.Sub(e.fleetReadAt) < maxAge {
 		return e.fleet, nil
 	}
+	if _, err := e.listMembers(ctx); err != nil {
+		return lead.Fleet{}, err
+	}
+	return e.fleet, nil
+}
+
+// listMembers reads memberTable from the store and derives the fleet from it. The caller holds fleetMu.
+func (e *Elector) listMembers(ctx context.Context) ([]port.Row, error) {
 	e.fleetChanged.Store(false)
+	sent := e.clock()
 	s, err := e.rows.List(ctx, memberTable)
 	if err != nil {
-		return lead.Fleet{}, err
+		e.fleetChanged.Store(true)
+		return nil, err
 	}
 	members := e.decodeMembers(s.Rows)
 	e.mu.Lock()
 	e.recordStoreClock(sent, s)
 	e.mu.Unlock()
-	e.fleet, e.fleetReadAt = lead.FleetOf(members, s.Clock), sent
-	return e.fleet, nil
+	e.fleet, e.fleetReadAt, e.memberRows = lead.FleetOf(members, s.Clock), sent, nil
+	if !e.committed {
+		e.memberRows = s.Rows
+	}
+	return s.Rows, nil
 }
 
 // decodeMembers returns the members of all rows, and logs the rows that cannot be decoded.
--- a/io/elect/grant.go
+++ b/io/elect/grant.go
@@ -152,17 +152,15 @@
 
 // readOwnRow reads this VM's row after a start and after a transaction that failed or whose outcome is unknown. The next
 // transaction has the row's version as a condition, so that a transaction that the store executes late cannot replace a newer
-// row. The leases that the row lists are kept.
+// row. The leases that the row lists are kept. Before this VM's first transaction, the last list of VMs serves as well.
 func (e *Elector) readOwnRow(ctx context.Context) error {
-	sent := e.clock()
-	s, err := e.rows.List(ctx, memberTable)
+	rows, err := e.membersForCommit(ctx)
 	if err != nil {
 		return err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.recordStoreClock(sent, s)
-	for _, row := range s.Rows {
+	for _, row := range rows {
 		if row.Key != e.name {
 			continue
 		}
@@ -179,6 +177,18 @@
 	return nil
 }
 
+// membersForCommit returns the rows of memberTable as of after the last transaction of this VM.
+func (e *Elector) membersForCommit(ctx context.Context) ([]port.Row, error) {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	if rows := e.memberRows; rows != nil && !e.committed {
+		e.committed, e.memberRows = true, nil
+		return rows, nil
+	}
+	e.committed = true
+	return e.listMembers(ctx)
+}
+
 // rejectOutdated returns the requests to leave and the renewals of VMs that have seen the newest epoch. It rejects the other
 // renewals with port.ErrConflict.
 func (e *Elector) rejectOutdated(batch []*renewRequest) []*renewRequest {
