--- a/core/lead/owners_test.go
+++ b/core/lead/owners_test.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
-	"time"
 )
 
 func vmsIn(dataCentres ...string) []Member {
