io/relay: encode the rows of a table once for all VMs that list it

When the agent of a data centre changes, each of its VMs lists all tables, and the agent sorted and encoded them for each. TestListAfterChange guards against rows of an earlier state.

--- a/io/relay/hub.go
+++ b/io/relay/hub.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"verbenagate/core/port"
 	"verbenagate/core/result"
 	"verbenagate/io/watch"
@@ -54,16 +56,29 @@
 func (h *hub) List(ctx context.Context, name string) (port.Snapshot, error) {
 	t := h.acquire(name)
 	defer h.release(t)
-	return t.waitFor(ctx, firstListTimeout, func() (port.Snapshot, bool, error) {
-		var rows []port.Row
-		for _, r := range t.rows {
-			if !r.Deleted {
-				rows = append(rows, r)
-			}
-		}
-		slices.SortFunc(rows, func(a, b port.Row) int { return cmp.Compare(a.Key, b.Key) })
-		return port.Snapshot{Rows: rows, Version: t.version, Relayed: true}, true, nil
-	})
+	return t.list(ctx)
+}
+
+// EncodedList returns the reply to a call for the rows of a table, and follows the table. When the agent of many VMs changes, all of
+// them ask for the same rows, which are encoded once.
+func (h *hub) EncodedList(ctx context.Context, name string) (cbor.RawMessage, error) {
+	t := h.acquire(name)
+	defer h.release(t)
+	s, err := t.list(ctx)
+	if err != nil {
+		return cbor.Marshal(newReply(s, err))
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current := t.listing != nil && t.listing.Version == s.Version
+	if current && t.encoded != nil {
+		return t.encoded, nil
+	}
+	encoded, err := cbor.Marshal(newReply(s, nil))
+	if current && err == nil {
+		t.encoded = encoded
+	}
+	return encoded, err
 }
 
 // Changes waits up to limit for rows of a table that were changed after the version after. It returns each row in its newest
@@ -140,6 +155,8 @@
 	mu           sync.Mutex
 	rows         map[string]port.Row // deleted rows included; each as of its last change that is passed on
 	meanings     map[string]any      // of rows, if meaning is set
+	listing      *port.Snapshot      // all rows that are not deleted, nil if not determined since the last change of rows
+	encoded      cbor.RawMessage     // the reply with listing, nil if not encoded yet
 	tombstones   int
 	historyFloor uint64 // changes up to this version are not held individually
 	version      uint64
@@ -148,10 +165,28 @@
 	changed      chan struct{}
 }
 
+// list returns the rows of the table once it has been listed.
+func (t *followedTable) list(ctx context.Context) (port.Snapshot, error) {
+	return t.waitFor(ctx, firstListTimeout, func() (port.Snapshot, bool, error) {
+		if t.listing == nil {
+			var rows []port.Row
+			for _, r := range t.rows {
+				if !r.Deleted {
+					rows = append(rows, r)
+				}
+			}
+			slices.SortFunc(rows, func(a, b port.Row) int { return cmp.Compare(a.Key, b.Key) })
+			t.listing = &port.Snapshot{Rows: slices.Clip(rows), Version: t.version, Relayed: true}
+		}
+		return *t.listing, true, nil
+	})
+}
+
 // Reset implements watch.Follower.
 func (t *followedTable) Reset(_ time.Time, s port.Snapshot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.listing, t.encoded = nil, nil
 	clear(t.rows)
 	clear(t.meanings)
 	t.historyFloor, t.tombstones, t.listed = s.Version, 0, false
@@ -186,6 +221,7 @@
 			t.tombstones++
 		}
 		t.rows[r.Key] = r
+		t.listing, t.encoded = nil, nil
 		changed = true
 	}
 	t.version = max(t.version, s.Version)
@@ -220,6 +256,7 @@
 		}
 	}
 	t.tombstones, t.historyFloor = 0, t.version
+	t.listing, t.encoded = nil, nil
 }
 
 // wakeWaiters wakes the calls in waitFor. The caller holds mu.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -105,7 +105,7 @@
 		if err := c.Decode(&q); err != nil {
 			return nil, err
 		}
-		return newReply(r.hub.List(ctx, q.Table)), nil
+		return r.hub.EncodedList(ctx, q.Table)
 	})
 	s.Handle(link.Fleet, func(ctx context.Context, _ *link.Inbound, c link.Call) (any, error) {
 		var q fleetCall
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -583,3 +583,59 @@
 		})
 	}
 }
+
+// Guards against an agent that returns rows of an earlier state of a table, since it keeps the encoded rows for the next VM.
+func TestListAfterChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFakeStore()
+	agent := newVM(t, "agent", f)
+	agent.SetAgents([]lead.Member{agent.member()})
+	var last uint64
+	for i := range 4 {
+		f.put("a", fmt.Sprint(i), false)
+		f.put(fmt.Sprint("b", i-1), "1", true)
+		f.put(fmt.Sprint("b", i), "1", false)
+		for name := range 3 {
+			v := newVM(t, fmt.Sprint("vm", name), newFakeStore())
+			v.SetAgents([]lead.Member{agent.member()})
+			if last > 0 {
+				_, err := v.Changes(t.Context(), "t", last, testTimeout)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			g.Eventually(func() string {
+				s, err := v.List(t.Context(), "t")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				text := ""
+				for _, r := range s.Rows {
+					text += fmt.Sprint(r.Key, "=", string(r.Value), " ")
+				}
+				return text
+			}, testTimeout).Should(gomega.Equal(fmt.Sprintf("a=%d b%d=1 ", i, i)))
+		}
+		last = f.version
+	}
+}
+
+// BenchmarkListAtAgent encodes the rows of the servers of as many groups of three servers as VMs for each VM of a data centre out of nine,
+// as when their agent changes.
+func BenchmarkListAtAgent(b *testing.B) {
+	for _, n := range []int{30, 100, 300, 790} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t := &followedTable{rows: make(map[string]port.Row), changed: make(chan struct{})}
+			s := port.Snapshot{Version: uint64(3 * n)}
+			for i := range 3 * n {
+				s.Rows = append(s.Rows, port.Row{Key: fmt.Sprint("server-", i), Version: uint64(i + 1), Value: make([]byte, 110)})
+			}
+			h := &hub{followed: map[string]*followedTable{"t": t}}
+			b.ReportAllocs()
+			for b.Loop() {
+				t.Reset(time.Time{}, s)
+				for range n / 9 {
+					if _, err := h.EncodedList(b.Context(), "t"); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+		})
+	}
+}
