--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -43,8 +43,12 @@
 	stopReserve = 500 * time.Millisecond
 	// backgroundTimeout bounds the wait for background goroutines at the end of a stop.
 	backgroundTimeout = 150 * time.Millisecond
-	// serverBatchDelay is how long an agent collects changes of servers' entries, each of which changes every second or so.
-	serverBatchDelay = 600 * time.Millisecond
+	// serverBatchDelay is how long an agent collects changes of servers' entries. Each server writes its entry every second or so,
+	// and a shorter delay costs a call for the entries of some of them.
+	serverBatchDelay = time.Second
+	// recordBatchDelay is how long an agent collects further changes of primaries' records after it has passed one on. At a start
+	// of all VMs each group gets its first record, and each call would wake all VMs of the data centre.
+	recordBatchDelay = 50 * time.Millisecond
 	// trimInterval is how often connections that have been idle for long are closed, reportInterval how often the number of
 	// sessions and of dropped log lines is reported.
 	trimInterval   = 200 * time.Millisecond
@@ -140,7 +144,8 @@
 		e.pools.SetForwarder(forwarder)
 	}
 	agents := relay.New(ctx, s.VM(), a.Rows, map[string]relay.Table{
-		a.Source.ServerTable: {BatchDelay: serverBatchDelay, Equal: a.Source.SameServer},
+		a.Source.ServerTable: {BatchDelay: serverBatchDelay, Meaning: a.Source.ServerMeaning},
+		elect.LeadTable:      {BatchDelay: recordBatchDelay},
 	}, clients, Clock, log)
 	e.agents = agents
 	e.directory = watch.NewDirectory(ctx, agents, a.Source, Clock, log, func(v *watch.View) {
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -8,6 +8,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,14 +33,16 @@
 	// probeTimeout bounds a status request to a primary.
 	probeTimeout = 400 * time.Millisecond
 	// memberReadInterval is how often the list of VMs is read on average; suspectReadInterval applies while a watched primary is suspected.
-	memberReadInterval  = 5 * time.Second
+	memberReadInterval  = 2500 * time.Millisecond
 	suspectReadInterval = 100 * time.Millisecond
-	// fleetMaxAge is how old the list of VMs may be while no primary is suspected.
-	fleetMaxAge = time.Second
 	// freshReadInterval applies while this VM holds portions of quotas.
 	freshReadInterval = time.Second
 	// maxProofReads is how often a process tries to read from the store since when leases of its VM have been valid.
 	maxProofReads = 3
+	// fleetMaxAge is how old the list of VMs may be while no primary is suspected. It is changedFleetMaxAge after this VM has
+	// granted a lease that changes the list.
+	fleetMaxAge        = 4 * time.Second
+	changedFleetMaxAge = time.Second
 	// startupReadInterval applies while the list names at most one VM: after a start it may lack most of them.
 	startupReadInterval = 800 * time.Millisecond
 	// rankDelay staggers the VMs that may act on a group, so that normally only one of them acts.
@@ -68,6 +71,7 @@
 	stableVersion    uint64    // version of the last stable record
 	servingVersion   uint64    // version of the record under which the primary may be used; 0 after this VM confirmed a move
 	detector         lead.FailureDetector
+	quiet            bool // nothing is to be done until a record, the view or the list of VMs changes or the primary does not answer
 	probing          bool
 	suspected        bool
 	actionDueSince   time.Time // since when the group has needed an action; zero if it needs none
@@ -88,8 +92,8 @@
 	port.RowReader
 	// ReadFleet returns the live VMs as of at most maxAge ago.
 	ReadFleet(ctx context.Context, maxAge time.Duration) (lead.Fleet, error)
-	// Renew renews this VM's lease, or gives it up if leave is set.
-	Renew(ctx context.Context, m lead.Member, leave bool) error
+	// Renew renews this VM's lease, or gives it up if leave is set. It returns when the next renewal is due, 0 if that is unknown.
+	Renew(ctx context.Context, m lead.Member, leave bool) (next time.Duration, err error)
 	// SetAgents sets the VMs that act as agents.
 	SetAgents(agents []lead.Member)
 }
@@ -114,7 +118,11 @@
 
 	fleetMu     sync.Mutex // held while the list of VMs is read, so that concurrent calls share one read
 	fleet       lead.Fleet
-	fleetReadAt time.Time // when the call that returned fleet was made
+	fleetReadAt time.Time  // when the call that returned fleet was made
+	memberRows  []port.Row // the rows of that call until the first transaction of this VM
+	committed   bool       // this VM has begun a transaction of leases
+
+	fleetChanged atomic.Bool // this VM has granted or ended a lease that changes the list of VMs since the list was read
 
 	mu          sync.Mutex
 	groups      map[string]*groupState
@@ -130,11 +138,17 @@
 	provenSince     time.Time // from when on a lease of this VM has been valid without a gap, also of an earlier process; zero if unknown
 	proofsLeft      int       // how often provenSince may still be read from the store
 	storeClock      lead.StoreClock
-	ownRowVersion   uint64 // version of this VM's row; 0 if unknown
+	nextBatch       time.Time // when the next regular batch of renewals begins
+	ownRowVersion   uint64    // version of this VM's row; 0 if unknown
 	grants          lead.Grants
 	members         []lead.Member
 	listed          bool                     // members contains this VM; before, VMs that start together would all act on each group
-	watchers        map[string][]lead.Member // by group; cache derived from members
+	fleetHash       uint64                   // of the fleet with members, 0 before the first one
+	watchRanking    lead.Watchers            // derived from members
+	watchers        map[string][]lead.Member // by group; cache derived from watchRanking
+	checkedView     *watch.View              // the view of the last check of the primaries
+	due             []string                 // the groups that are not quiet
+	dueOutdated     bool                     // due is to be determined again
 	changed         chan struct{}            // closed and replaced when a record or the lease changes
 	stopping        bool
 }
@@ -357,6 +371,7 @@
 		g.detector.RecordSuccess(sent)
 	} else {
 		g.detector.RecordFailure(sent)
+		e.setQuiet(g, false)
 	}
 }
 
@@ -454,6 +469,7 @@
 		g.stableVersion, g.servingVersion = r.Version(), r.Version()
 	}
 	g.record, g.recordSeen = r, now
+	e.setQuiet(g, false)
 	if r.Phase() == lead.Stable {
 		if pg, ok := e.pools.Group(group); ok {
 			pg.SetLeader(r.Server(), r.Version())
@@ -484,8 +500,11 @@
 
 // renewAndWait renews the lease and waits until the next renewal is due or requested.
 func (e *Elector) renewAndWait(ctx context.Context) {
-	next := lead.RenewInterval
-	if err := e.renewLease(ctx); err != nil {
+	next, err := e.renewLease(ctx)
+	switch {
+	case err == nil && next <= 0:
+		next = lead.RenewInterval
+	case err != nil:
 		next = minRenewRetryDelay + time.Duration(retry.Jitter()*float64(minRenewRetryDelay))
 		if !errors.Is(err, port.ErrConflict) {
 			e.log.Event(event.StoreDown, zap.String("table", memberTable), zap.Error(err))
@@ -500,10 +519,11 @@
 	}
 }
 
-// renewLease confirms the newest epoch that this VM has seen and extends the lease.
-func (e *Elector) renewLease(ctx context.Context) error {
+// renewLease confirms the newest epoch that this VM has seen and extends the lease. It returns when the next renewal is due, 0 if
+// that is unknown.
+func (e *Elector) renewLease(ctx context.Context) (next time.Duration, err error) {
 	if !e.awaitPrimaryUses(ctx) {
-		return nil
+		return 0, nil
 	}
 	e.mu.Lock()
 	sent, epoch := e.clock(), e.epoch
@@ -519,8 +539,9 @@
 	e.mu.Unlock()
 	slices.Sort(suspected)
 	m := lead.NewMember(e.name, epoch, 0, suspected).WithLocation(e.self.DataCentre(), e.self.Address()).WithCores(e.self.Cores())
-	if err := e.agents.Renew(ctx, m, false); err != nil {
-		return err
+	next, err = e.agents.Renew(ctx, m, false)
+	if err != nil {
+		return 0, err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -533,7 +554,7 @@
 		e.log.Event(event.LeaseRenewed, zap.Uint64("epoch", epoch))
 		e.notifyChanged()
 	}
-	return nil
+	return next, nil
 }
 
 // awaitPrimaryUses waits until no work uses a primary that is being replaced, but at most maxConfirmDelay from when this VM saw
@@ -559,28 +580,44 @@
 // be fresh.
 func (e *Elector) readMembers(ctx context.Context) {
 	maxAge := fleetMaxAge
-	if e.isWatchedPrimarySuspected() {
+	switch {
+	case e.isWatchedPrimarySuspected():
 		maxAge = suspectReadInterval
+	case !e.isListed():
+		maxAge = startupReadInterval
+	case e.readsFreshLists():
+		maxAge = freshReadInterval
 	}
 	sent := e.clock()
 	fleet, err := e.agents.ReadFleet(ctx, maxAge)
 	if err != nil {
 		return
 	}
+	e.applyFleet(fleet)
+	if e.onMembers != nil {
+		e.onMembers(fleet.Present(), sent.Add(-maxAge))
+	}
+	if e.readsFreshLists() && e.needsContinuity() {
+		e.proveContinuity(ctx)
+	}
+}
+
+// applyFleet updates all that is derived from the list of VMs, if the list has changed.
+func (e *Elector) applyFleet(fleet lead.Fleet) {
 	e.mu.Lock()
-	e.members, e.watchers = fleet.Live(), make(map[string][]lead.Member)
+	if fleet.Hash() == e.fleetHash {
+		e.mu.Unlock()
+		return
+	}
+	e.fleetHash, e.members = fleet.Hash(), fleet.Live()
+	e.watchRanking, e.watchers = lead.NewWatchers(e.members), make(map[string][]lead.Member)
+	e.checkAll()
 	e.listed = slices.ContainsFunc(e.members, func(m lead.Member) bool { return m.Name() == e.name })
 	agents := lead.Agents(e.members, e.self.DataCentre())
 	e.mu.Unlock()
 	e.paths.SetMembers(fleet.Live())
 	e.pools.SetMembers(fleet.Live(), fleet.Holders())
 	e.agents.SetAgents(agents)
-	if e.onMembers != nil {
-		e.onMembers(fleet.Present(), sent.Add(-maxAge))
-	}
-	if e.needsFresh != nil && e.needsFresh() && e.needsContinuity() {
-		e.proveContinuity(ctx)
-	}
 }
 
 // ReadFleet implements relay.Granter: it returns the live VMs as of at most maxAge ago, from the store if need be.
@@ -588,20 +625,37 @@
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
 	sent := e.clock()
+	if e.fleetChanged.Load() {
+		maxAge = min(maxAge, changedFleetMaxAge)
+	}
 	if !e.fleetReadAt.IsZero() && sent.Sub(e.fleetReadAt) < maxAge {
 		return e.fleet, nil
 	}
+	if _, err := e.listMembers(ctx); err != nil {
+		return lead.Fleet{}, err
+	}
+	return e.fleet, nil
+}
+
+// listMembers reads memberTable from the store and derives the fleet from it. The caller holds fleetMu.
+func (e *Elector) listMembers(ctx context.Context) ([]port.Row, error) {
+	e.fleetChanged.Store(false)
+	sent := e.clock()
 	s, err := e.rows.List(ctx, memberTable)
 	if err != nil {
-		return lead.Fleet{}, err
+		e.fleetChanged.Store(true)
+		return nil, err
 	}
 	members := e.decodeMembers(s.Rows)
 	e.mu.Lock()
 	e.recordStoreClock(sent, s)
 	e.observeLeases(s)
 	e.mu.Unlock()
-	e.fleet, e.fleetReadAt = lead.FleetOf(members, s.Clock), sent
-	return e.fleet, nil
+	e.fleet, e.fleetReadAt, e.memberRows = lead.FleetOf(members, s.Clock), sent, nil
+	if !e.committed {
+		e.memberRows = s.Rows
+	}
+	return s.Rows, nil
 }
 
 // decodeMembers returns the members of all rows, and logs the rows that cannot be decoded.
@@ -613,17 +667,24 @@
 	return members
 }
 
+// isListed reports whether the list of VMs names this VM and another one.
+func (e *Elector) isListed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.listed && len(e.members) > 1
+}
+
+// readsFreshLists reports whether this VM needs a list of VMs every freshReadInterval.
+func (e *Elector) readsFreshLists() bool { return e.needsFresh != nil && e.needsFresh() }
+
 func (e *Elector) memberReadDelay() time.Duration {
 	if e.isWatchedPrimarySuspected() {
 		return suspectReadInterval
 	}
-	needsFresh := e.needsFresh != nil && e.needsFresh()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if len(e.members) <= 1 || !e.listed {
+	if !e.isListed() {
 		return startupReadInterval
 	}
-	if needsFresh {
+	if e.readsFreshLists() {
 		return freshReadInterval
 	}
 	return memberReadInterval*3/4 + time.Duration(retry.Jitter()*float64(memberReadInterval)/2)
@@ -651,7 +712,7 @@
 func (e *Elector) watchersOf(group string) []lead.Member {
 	w, ok := e.watchers[group]
 	if !ok {
-		w = lead.Watchers(e.members, group)
+		w = e.watchRanking.Of(group)
 		if e.watchers != nil {
 			e.watchers[group] = w
 		}
@@ -671,7 +732,7 @@
 	m := lead.NewMember(e.name, e.epoch, 0, nil).WithLocation(e.self.DataCentre(), e.self.Address()).WithCores(e.self.Cores())
 	e.lease = lead.Lease{}
 	e.mu.Unlock()
-	if err := e.agents.Renew(ctx, m, true); err != nil {
+	if _, err := e.agents.Renew(ctx, m, true); err != nil {
 		e.log.Event(event.StoreDown, zap.String("table", memberTable), zap.Error(err))
 	}
 }
--- a/io/elect/grant.go
+++ b/io/elect/grant.go
@@ -14,7 +14,7 @@
 
 const (
 	// batchWindow is how long renewals are collected for one transaction; urgentBatchWindow applies once one of them is urgent.
-	batchWindow       = 500 * time.Millisecond
+	batchWindow       = 250 * time.Millisecond
 	urgentBatchWindow = 15 * time.Millisecond
 )
 
@@ -25,8 +25,21 @@
 	done   chan error
 }
 
-// Grant implements relay.Granter. It waits until the transaction with the renewal has ended.
-func (e *Elector) Grant(ctx context.Context, m lead.Member, leave bool) error {
+// minNextRenewal is the shortest time from a renewal to the next one.
+const minNextRenewal = 20 * time.Millisecond
+
+// Grant implements relay.Granter. It waits until the transaction with the renewal has ended. VMs that renew their leases when the
+// next regular batch begins share its transaction, whenever their first renewals were.
+func (e *Elector) Grant(ctx context.Context, m lead.Member, leave bool) (next time.Duration, err error) {
+	if err := e.grant(ctx, m, leave); err != nil {
+		return 0, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(e.nextBatch.Sub(e.clock()), minNextRenewal), nil
+}
+
+func (e *Elector) grant(ctx context.Context, m lead.Member, leave bool) error {
 	r := &renewRequest{member: m, leave: leave, done: make(chan error, 1)}
 	select {
 	case e.renewRequests <- r:
@@ -90,13 +103,25 @@
 				t.Reset(batchWindow)
 			}
 			batch = append(batch, r)
+			e.scheduleNextBatch(now)
 			if e.isUrgent(r) {
+				e.fleetChanged.Store(true)
 				t.Reset(max(urgentBatchWindow-now.Sub(firstReceived), 0))
 			}
 		}
 	}
 }
 
+// scheduleNextBatch sets when the next regular batch begins, if that time has come. A batch in between, of VMs that were late or of
+// urgent renewals, does not change it.
+func (e *Elector) scheduleNextBatch(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !now.Before(e.nextBatch) {
+		e.nextBatch = now.Add(batchWindow + lead.RenewInterval)
+	}
+}
+
 func (e *Elector) isUrgent(r *renewRequest) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -127,18 +152,15 @@
 
 // readOwnRow reads this VM's row after a start and after a transaction that failed or whose outcome is unknown. The next
 // transaction has the row's version as a condition, so that a transaction that the store executes late cannot replace a newer
-// row. The leases that the row lists are kept.
+// row. The leases that the row lists are kept. Before this VM's first transaction, the last list of VMs serves as well.
 func (e *Elector) readOwnRow(ctx context.Context) error {
-	sent := e.clock()
-	s, err := e.rows.List(ctx, memberTable)
+	rows, err := e.membersForCommit(ctx)
 	if err != nil {
 		return err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.recordStoreClock(sent, s)
-	e.observeLeases(s)
-	for _, row := range s.Rows {
+	for _, row := range rows {
 		if row.Key != e.name {
 			continue
 		}
@@ -155,6 +177,18 @@
 	return nil
 }
 
+// membersForCommit returns the rows of memberTable as of after the last transaction of this VM.
+func (e *Elector) membersForCommit(ctx context.Context) ([]port.Row, error) {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	if rows := e.memberRows; rows != nil && !e.committed {
+		e.committed, e.memberRows = true, nil
+		return rows, nil
+	}
+	e.committed = true
+	return e.listMembers(ctx)
+}
+
 // rejectOutdated returns the requests to leave and the renewals of VMs that have seen the newest epoch. It rejects the other
 // renewals with port.ErrConflict.
 func (e *Elector) rejectOutdated(batch []*renewRequest) []*renewRequest {
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -52,6 +52,13 @@
 	forwarder     Forwarder
 	paths         Paths
 	departures    map[string]departure // by id of a server that is not registered any more
+	basis         basis                // of the last update
+}
+
+// basis identifies what the limits and owners of a group's servers are derived from, apart from the servers.
+type basis struct {
+	config    uint64 // version of the configuration, 0 before the first update
+	vmsChange uint64 // number of the change of the list of VMs
 }
 
 // Paths tells which data centres this VM cannot reach.
@@ -75,6 +82,13 @@
 	return append([]layout.Server(nil), g.members...)
 }
 
+// HasMembers reports whether the group has servers.
+func (g *Group) HasMembers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.members) > 0
+}
+
 // update sets the members of the group, the limits of their pools, and the owners of those servers that have one.
 func (g *Group) update(members []layout.Server, limitsOf func(layout.Server) limits, owners map[string][]lead.Member) {
 	g.mu.Lock()
@@ -110,6 +124,23 @@
 	}
 }
 
+// beginUpdate reports whether the servers or the basis of their limits and owners differ from those of the last update, and records
+// the basis. Most changes of the servers concern one group of many. It returns the owners by server if they were determined for the
+// last list of VMs but one.
+func (g *Group) beginUpdate(members []layout.Server, b basis) (old map[string][]lead.Member, needed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	same := slices.Equal(members, g.members)
+	if same && b == g.basis {
+		return nil, false
+	}
+	if same && b.vmsChange == g.basis.vmsChange+1 {
+		old = g.owners
+	}
+	g.basis = b
+	return old, true
+}
+
 // rebuildTable makes a new routing table. Each VM has its own order of preference among servers of the same cost. If all VMs had
 // the same order, those in data centres without a replica would all read from the same replica. The caller holds mu.
 func (g *Group) rebuildTable() {
@@ -312,6 +343,7 @@
 	vmCount   int
 	live      []lead.Member
 	owners    lead.Owners // derived from live
+	vmsChange uint64      // number of the last change of vmCount and live
 	forwarder Forwarder
 	paths     Paths
 	view      *watch.View
@@ -368,10 +400,14 @@
 			}
 			s.groups[name] = g
 		}
-		members := v.Group(name)
+		members, b := v.Group(name), basis{config: v.Config().Version(), vmsChange: s.vmsChange}
+		old, needed := g.beginUpdate(members, b)
+		if !needed {
+			continue
+		}
 		owners := make(map[string][]lead.Member)
 		for _, m := range members {
-			if list := s.ownersOf(m); len(list) > 0 {
+			if list := s.ownersOf(m, old[m.ID()]); len(list) > 0 {
 				owners[m.ID()] = list
 			}
 		}
@@ -384,13 +420,13 @@
 	}
 }
 
-// ownersOf returns the VMs that may hold the shared connections to a server, or none if each VM uses connections of its own. The
-// caller holds mu.
-func (s *Set) ownersOf(server layout.Server) []lead.Member {
+// ownersOf returns the VMs that may hold the shared connections to a server, or none if each VM uses connections of its own. Old is
+// what it returned for the last list of VMs but one, none if that is unknown. The caller holds mu.
+func (s *Set) ownersOf(server layout.Server, old []lead.Member) []lead.Member {
 	if s.forwarder == nil || !layout.NeedsOwner(server.Slots(), s.vmCount) {
 		return nil
 	}
-	return s.owners.Of(server.ID(), server.DataCentre())
+	return s.owners.Revise(server.ID(), server.DataCentre(), old)
 }
 
 // limitsFor returns the limits of this VM's use of a server that accepts limit connections.
@@ -423,7 +459,8 @@
 	s.mu.Lock()
 	changed := n > 0 && (n != s.vmCount || !slices.EqualFunc(live, s.live, sameVM))
 	if changed {
-		s.vmCount, s.live, s.owners = n, live, lead.NewOwners(live)
+		s.vmCount, s.live, s.owners = n, live, s.owners.Next(live)
+		s.vmsChange++
 	}
 	view := s.view
 	s.mu.Unlock()
@@ -440,6 +477,7 @@
 // Trim closes the connections that have reached the idle timeout of their pool or exceed its connection limit. It must be called
 // regularly.
 func (s *Set) Trim() {
+	now := s.clock()
 	for _, g := range s.Groups() {
 		g.mu.Lock()
 		pools := make([]*Pool, 0, len(g.pools))
@@ -448,7 +486,7 @@
 		}
 		g.mu.Unlock()
 		for _, p := range pools {
-			p.trim(g.clock())
+			p.trim(now)
 		}
 	}
 }
--- a/io/relay/hub.go
+++ b/io/relay/hub.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"verbenagate/core/port"
 	"verbenagate/core/result"
 	"verbenagate/io/watch"
@@ -16,7 +18,7 @@
 	// firstListTimeout is how long a call waits until a table has been listed for the first time.
 	firstListTimeout = 1500 * time.Millisecond
 	// idleFollowDuration is how long a table is still followed after the last call that used it.
-	idleFollowDuration = 10 * time.Second
+	idleFollowDuration = 3 * time.Second
 	// maxTombstones is the maximum number of deleted rows that are kept per table.
 	maxTombstones = 1000
 )
@@ -25,8 +27,9 @@
 type Table struct {
 	// BatchDelay is how long changes are collected before the next call of the store. 0 is for changes that VMs wait for.
 	BatchDelay time.Duration
-	// Equal reports whether two values of a row mean the same to the VMs. If it is set, changes between such values are not passed on.
-	Equal func(before, after []byte) bool
+	// Meaning returns what the value of a row means to the VMs, which can be compared, or nil if it means nothing known. If it is set,
+	// changes between values with the same meaning are not passed on.
+	Meaning func(value []byte) any
 }
 
 // hub follows each table of the store once, on behalf of all VMs that read it.
@@ -53,16 +56,29 @@
 func (h *hub) List(ctx context.Context, name string) (port.Snapshot, error) {
 	t := h.acquire(name)
 	defer h.release(t)
-	return t.waitFor(ctx, firstListTimeout, func() (port.Snapshot, bool, error) {
-		var rows []port.Row
-		for _, r := range t.rows {
-			if !r.Deleted {
-				rows = append(rows, r)
-			}
-		}
-		slices.SortFunc(rows, func(a, b port.Row) int { return cmp.Compare(a.Key, b.Key) })
-		return port.Snapshot{Rows: rows, Version: t.version, Relayed: true}, true, nil
-	})
+	return t.list(ctx)
+}
+
+// EncodedList returns the reply to a call for the rows of a table, and follows the table. When the agent of many VMs changes, all of
+// them ask for the same rows, which are encoded once.
+func (h *hub) EncodedList(ctx context.Context, name string) (cbor.RawMessage, error) {
+	t := h.acquire(name)
+	defer h.release(t)
+	s, err := t.list(ctx)
+	if err != nil {
+		return cbor.Marshal(newReply(s, err))
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current := t.listing != nil && t.listing.Version == s.Version
+	if current && t.encoded != nil {
+		return t.encoded, nil
+	}
+	encoded, err := cbor.Marshal(newReply(s, nil))
+	if current && err == nil {
+		t.encoded = encoded
+	}
+	return encoded, err
 }
 
 // Changes waits up to limit for rows of a table that were changed after the version after. It returns each row in its newest
@@ -96,7 +112,8 @@
 		ctx, cancel := context.WithCancel(h.ctx)
 		options := h.tables[name]
 		t = &followedTable{
-			name: name, cancel: cancel, equal: options.Equal, rows: make(map[string]port.Row), changed: make(chan struct{}),
+			name: name, cancel: cancel, meaning: options.Meaning, rows: make(map[string]port.Row), meanings: make(map[string]any),
+			changed: make(chan struct{}),
 		}
 		h.followed[name] = t
 		h.following.Go(func() { watch.Follow(ctx, h.store, name, options.BatchDelay, h.clock, t) })
@@ -131,12 +148,15 @@
 type followedTable struct {
 	name        string
 	cancel      context.CancelFunc
-	equal       func(before, after []byte) bool // may be nil
-	activeCalls int                             // guarded by hub.mu
-	idleTimer   *time.Timer                     // guarded by hub.mu
+	meaning     func(value []byte) any // may be nil
+	activeCalls int                    // guarded by hub.mu
+	idleTimer   *time.Timer            // guarded by hub.mu
 
 	mu           sync.Mutex
 	rows         map[string]port.Row // deleted rows included; each as of its last change that is passed on
+	meanings     map[string]any      // of rows, if meaning is set
+	listing      *port.Snapshot      // all rows that are not deleted, nil if not determined since the last change of rows
+	encoded      cbor.RawMessage     // the reply with listing, nil if not encoded yet
 	tombstones   int
 	historyFloor uint64 // changes up to this version are not held individually
 	version      uint64
@@ -145,11 +165,30 @@
 	changed      chan struct{}
 }
 
+// list returns the rows of the table once it has been listed.
+func (t *followedTable) list(ctx context.Context) (port.Snapshot, error) {
+	return t.waitFor(ctx, firstListTimeout, func() (port.Snapshot, bool, error) {
+		if t.listing == nil {
+			var rows []port.Row
+			for _, r := range t.rows {
+				if !r.Deleted {
+					rows = append(rows, r)
+				}
+			}
+			slices.SortFunc(rows, func(a, b port.Row) int { return cmp.Compare(a.Key, b.Key) })
+			t.listing = &port.Snapshot{Rows: slices.Clip(rows), Version: t.version, Relayed: true}
+		}
+		return *t.listing, true, nil
+	})
+}
+
 // Reset implements watch.Follower.
 func (t *followedTable) Reset(_ time.Time, s port.Snapshot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.listing, t.encoded = nil, nil
 	clear(t.rows)
+	clear(t.meanings)
 	t.historyFloor, t.tombstones, t.listed = s.Version, 0, false
 	t.applyRows(s)
 }
@@ -175,14 +214,14 @@
 	t.lastErr, t.listed = nil, true
 	for _, r := range s.Rows {
 		t.version = max(t.version, r.Version)
-		old, known := t.rows[r.Key]
-		if known && !old.Deleted && !r.Deleted && t.equal != nil && t.equal(old.Value, r.Value) {
+		if t.meansTheSame(r) {
 			continue
 		}
 		if r.Deleted {
 			t.tombstones++
 		}
 		t.rows[r.Key] = r
+		t.listing, t.encoded = nil, nil
 		changed = true
 	}
 	t.version = max(t.version, s.Version)
@@ -194,6 +233,21 @@
 	}
 }
 
+// meansTheSame reports whether a row means the same as its last state, and records its meaning. The caller holds mu.
+func (t *followedTable) meansTheSame(r port.Row) bool {
+	if t.meaning == nil {
+		return false
+	}
+	old := t.meanings[r.Key]
+	if r.Deleted {
+		delete(t.meanings, r.Key)
+		return false
+	}
+	now := t.meaning(r.Value)
+	t.meanings[r.Key] = now
+	return now != nil && now == old
+}
+
 // dropTombstones drops the deleted rows. VMs that have not received them must list the table again. The caller holds mu.
 func (t *followedTable) dropTombstones() {
 	for key, r := range t.rows {
@@ -202,6 +256,7 @@
 		}
 	}
 	t.tombstones, t.historyFloor = 0, t.version
+	t.listing, t.encoded = nil, nil
 }
 
 // wakeWaiters wakes the calls in waitFor. The caller holds mu.
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -19,10 +19,17 @@
 	"verbenagate/core/port"
 	"verbenagate/core/result"
 	"verbenagate/io/link"
+	"verbenagate/io/watch"
+	"verbenagate/platform"
 )
 
 // testTables has a table in which values that begin with the same byte are equal.
-var testTables = map[string]Table{"t": {Equal: func(a, b []byte) bool { return len(a) > 0 && len(b) > 0 && a[0] == b[0] }}}
+var testTables = map[string]Table{"t": {Meaning: func(value []byte) any {
+	if len(value) == 0 {
+		return nil
+	}
+	return value[0]
+}}}
 
 type discardLogger struct{}
 
@@ -129,11 +136,11 @@
 	fleetReads int
 }
 
-func (g *fakeGranter) Grant(_ context.Context, m lead.Member, leave bool) error {
+func (g *fakeGranter) Grant(_ context.Context, m lead.Member, leave bool) (time.Duration, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.renewals = append(g.renewals, fmt.Sprint(m.Name(), " ", m.Epoch(), " ", m.Suspected(), " ", m.DataCentre(), " ", leave))
-	return g.err
+	return testNextRenewal, g.err
 }
 
 func (g *fakeGranter) ReadFleet(context.Context, time.Duration) (lead.Fleet, error) {
@@ -184,6 +191,18 @@
 	return v
 }
 
+// testNextRenewal is what a fakeGranter returns as the time until the next renewal.
+const testNextRenewal = 700 * time.Millisecond
+
+// renew renews or ends the VM's lease. The time until the next renewal must be the granter's, whichever VM it is on.
+func (v *vm) renew(t *testing.T, leave bool) error {
+	next, err := v.Renew(t.Context(), v.member(), leave)
+	if err == nil && next != testNextRenewal {
+		t.Errorf("the next renewal is due in %s, want %s", next, testNextRenewal)
+	}
+	return err
+}
+
 func (v *vm) member() lead.Member {
 	return lead.NewMember(v.self, 7, 0, []string{"g"}).WithLocation("dc", v.address)
 }
@@ -260,17 +279,17 @@
 	for _, each := range []*vm{first, second, v} {
 		each.SetAgents(agents)
 	}
-	g.Expect(v.Renew(t.Context(), v.member(), false)).To(gomega.Succeed(), "the first agent cannot reach the store")
+	g.Expect(v.renew(t, false)).To(gomega.Succeed(), "the first agent cannot reach the store")
 	g.Expect(first.granter.recordedRenewals()).To(gomega.Equal([]string{"vm 7 [g] dc false"}))
 	g.Expect(second.granter.recordedRenewals()).To(gomega.Equal([]string{"vm 7 [g] dc false"}))
 	s, err := v.List(t.Context(), "t")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(s.Rows).To(gomega.HaveLen(1))
-	g.Expect(first.Renew(t.Context(), first.member(), false)).To(gomega.Succeed(),
+	g.Expect(first.renew(t, false)).To(gomega.Succeed(),
 		"an agent that cannot reach the store calls the next one")
 	second.stop()
 	v.granter.err = nil
-	g.Expect(v.Renew(t.Context(), v.member(), true)).To(gomega.Succeed())
+	g.Expect(v.renew(t, true)).To(gomega.Succeed())
 	g.Expect(v.granter.recordedRenewals()).To(gomega.Equal([]string{"vm 7 [g] dc true"}), "no agent is left")
 }
 
@@ -280,7 +299,7 @@
 	agent, v := newVM(t, "agent", newFakeStore()), newVM(t, "vm", newFakeStore())
 	agent.granter.err = port.ErrConflict
 	v.SetAgents([]lead.Member{agent.member()})
-	g.Expect(v.Renew(t.Context(), v.member(), false)).To(gomega.MatchError(port.ErrConflict))
+	g.Expect(v.renew(t, false)).To(gomega.MatchError(port.ErrConflict))
 	g.Expect(v.granter.recordedRenewals()).To(gomega.BeEmpty())
 	g.Expect(v.availableAgents()).To(gomega.HaveLen(1))
 }
@@ -400,7 +419,7 @@
 // panickingGranter panics over the renewals of one VM.
 type panickingGranter struct{ fakeGranter }
 
-func (g *panickingGranter) Grant(ctx context.Context, m lead.Member, leave bool) error {
+func (g *panickingGranter) Grant(ctx context.Context, m lead.Member, leave bool) (time.Duration, error) {
 	if m.Name() == "poison" {
 		panic("malformed renewal")
 	}
@@ -418,11 +437,11 @@
 	agents := []lead.Member{agent.member()}
 	neighbour.SetAgents(agents)
 	poison.SetAgents(agents)
-	g.Expect(neighbour.Renew(t.Context(), neighbour.member(), false)).To(gomega.Succeed())
+	g.Expect(neighbour.renew(t, false)).To(gomega.Succeed())
 
-	g.Expect(poison.Renew(t.Context(), poison.member(), false)).To(gomega.Succeed())
+	g.Expect(poison.renew(t, false)).To(gomega.Succeed())
 	g.Expect(poison.granter.recordedRenewals()).To(gomega.HaveLen(1), "the agent could not carry out the call")
-	g.Expect(neighbour.Renew(t.Context(), neighbour.member(), false)).To(gomega.Succeed())
+	g.Expect(neighbour.renew(t, false)).To(gomega.Succeed())
 	g.Expect(granter.recordedRenewals()).To(gomega.HaveLen(2))
 	g.Expect(neighbour.granter.recordedRenewals()).To(gomega.BeEmpty(), "the agent made both calls")
 }
@@ -487,9 +506,136 @@
 	}, testTimeout).Should(gomega.Equal(1))
 	shared.put("b", "2", false)
 	first.granter.err = errDown
-	g.Expect(v.Renew(t.Context(), v.member(), false)).To(gomega.Succeed())
+	g.Expect(v.renew(t, false)).To(gomega.Succeed())
 	var changes port.Snapshot
 	g.Eventually(got, testTimeout).Should(gomega.Receive(&changes))
 	g.Expect(changes.Rows).To(gomega.HaveLen(1))
 	g.Expect(changes.Rows[0].Key).To(gomega.Equal("b"))
 }
+
+// Guards against tables that two agents of a data centre follow in the store for as long as calls for changes wait at an agent that
+// is not the first one any more, as after a start of all VMs: each of them made as many calls as the first agent.
+func TestWaitingCallsMoveToFirstAgent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFakeStore()
+	f.put("a", "1", false)
+	first, old, v := newVM(t, "first", f), newVM(t, "old", f), newVM(t, "vm", newFakeStore())
+	for _, each := range []*vm{old, v} {
+		each.SetAgents([]lead.Member{old.member()})
+	}
+	s, err := v.List(t.Context(), "t")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	agents := []lead.Member{first.member(), old.member()}
+	for name, move := range map[string]func(){
+		"at the VM":    func() { v.SetAgents(agents) },
+		"at the agent": func() { old.SetAgents(agents) },
+	} {
+		v.SetAgents(agents[1:])
+		old.SetAgents(agents[1:])
+		ended := make(chan error, 2)
+		for _, each := range []*vm{old, v} {
+			go func() {
+				got, err := each.Changes(t.Context(), "t", s.Version, time.Hour)
+				if len(got.Rows) > 0 {
+					err = fmt.Errorf("unexpected changes %v", got.Rows)
+				}
+				ended <- err
+			}()
+		}
+		g.Eventually(func() int {
+			old.mu.Lock()
+			defer old.mu.Unlock()
+			return len(old.calls["old"])
+		}, testTimeout).Should(gomega.Equal(2))
+		move()
+		old.SetAgents(agents)
+		for range 2 {
+			g.Eventually(ended, testTimeout).Should(gomega.Receive(gomega.BeNil()), name)
+		}
+		g.Expect(v.availableAgents()).To(gomega.HaveLen(len(v.agents)), "no agent has failed")
+	}
+	g.Eventually(func() int {
+		old.hub.mu.Lock()
+		defer old.hub.mu.Unlock()
+		return len(old.hub.followed)
+	}, 2*idleFollowDuration).Should(gomega.BeZero(), "the old agent follows no table")
+}
+
+// BenchmarkEntries passes one new entry of each server of as many groups of three servers as VMs to an agent, as every second. None means
+// anything new.
+func BenchmarkEntries(b *testing.B) {
+	for _, n := range []int{30, 100, 300, 790} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			source := watch.Source{ParseServer: platform.ParseServer}
+			t := &followedTable{
+				meaning: source.ServerMeaning, rows: make(map[string]port.Row), meanings: make(map[string]any), changed: make(chan struct{}),
+			}
+			var s port.Snapshot
+			for i := range 3 * n {
+				s.Rows = append(s.Rows, port.Row{Key: fmt.Sprint("server-", i), Version: uint64(i), Value: fmt.Appendf(nil,
+					`{"service":"g-%d","address":"10.0.0.1:%d","zone":"dc0","slots":5,"state":"ready","dbRole":"replica","born":1}`, i/3, i+1)})
+			}
+			t.Reset(time.Time{}, s)
+			b.ReportAllocs()
+			for b.Loop() {
+				t.Change(time.Time{}, s)
+			}
+		})
+	}
+}
+
+// Guards against an agent that returns rows of an earlier state of a table, since it keeps the encoded rows for the next VM.
+func TestListAfterChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFakeStore()
+	agent := newVM(t, "agent", f)
+	agent.SetAgents([]lead.Member{agent.member()})
+	var last uint64
+	for i := range 4 {
+		f.put("a", fmt.Sprint(i), false)
+		f.put(fmt.Sprint("b", i-1), "1", true)
+		f.put(fmt.Sprint("b", i), "1", false)
+		for name := range 3 {
+			v := newVM(t, fmt.Sprint("vm", name), newFakeStore())
+			v.SetAgents([]lead.Member{agent.member()})
+			if last > 0 {
+				_, err := v.Changes(t.Context(), "t", last, testTimeout)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			g.Eventually(func() string {
+				s, err := v.List(t.Context(), "t")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				text := ""
+				for _, r := range s.Rows {
+					text += fmt.Sprint(r.Key, "=", string(r.Value), " ")
+				}
+				return text
+			}, testTimeout).Should(gomega.Equal(fmt.Sprintf("a=%d b%d=1 ", i, i)))
+		}
+		last = f.version
+	}
+}
+
+// BenchmarkListAtAgent encodes the rows of the servers of as many groups of three servers as VMs for each VM of a data centre out of nine,
+// as when their agent changes.
+func BenchmarkListAtAgent(b *testing.B) {
+	for _, n := range []int{30, 100, 300, 790} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t := &followedTable{rows: make(map[string]port.Row), changed: make(chan struct{})}
+			s := port.Snapshot{Version: uint64(3 * n)}
+			for i := range 3 * n {
+				s.Rows = append(s.Rows, port.Row{Key: fmt.Sprint("server-", i), Version: uint64(i + 1), Value: make([]byte, 110)})
+			}
+			h := &hub{followed: map[string]*followedTable{"t": t}}
+			b.ReportAllocs()
+			for b.Loop() {
+				t.Reset(time.Time{}, s)
+				for range n / 9 {
+					if _, err := h.EncodedList(b.Context(), "t"); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+		})
+	}
+}
--- a/io/watch/directory.go
+++ b/io/watch/directory.go
@@ -31,11 +31,13 @@
 	ParseServer            func(id string, value []byte) (layout.Server, error)
 }
 
-// SameServer reports whether two values of a server's row describe the same server in the same state.
-func (s Source) SameServer(a, b []byte) bool {
-	serverA, errA := s.ParseServer("", a)
-	serverB, errB := s.ParseServer("", b)
-	return errA == nil && errB == nil && serverA == serverB
+// ServerMeaning returns what the value of a server's row says of the server, nil if it cannot be decoded.
+func (s Source) ServerMeaning(value []byte) any {
+	server, err := s.ParseServer("", value)
+	if err != nil {
+		return nil
+	}
+	return server
 }
 
 // View is an immutable snapshot of the configuration in force and of the registered servers.
@@ -45,6 +47,11 @@
 	groups  map[string][]layout.Server
 }
 
+// NewView returns a view of a configuration and of the registered servers by id.
+func NewView(c layout.Config, servers map[string]layout.Server) *View {
+	return &View{config: c, servers: maps.Clone(servers), groups: layout.ByGroup(servers)}
+}
+
 // Config returns the configuration in force.
 func (v *View) Config() layout.Config { return v.config }
 
@@ -118,7 +125,7 @@
 
 // publish makes a copy of the configuration and the servers the current view. The caller holds mu.
 func (d *Directory) publish() {
-	v := &View{config: d.config, servers: maps.Clone(d.servers), groups: layout.ByGroup(d.servers)}
+	v := NewView(d.config, d.servers)
 	d.view.Store(v)
 	d.onChange(v)
 }
