--- /dev/null
+++ b/core/even/even.go
@@ -0,0 +1,279 @@
+// Package even spreads work over servers whose load is known only from reports that are a little old.
+//
+// A report says how much work a server had when it was made. The older it is, the more of that work has ended, and the more has
+// come from VMs that chose by similar reports. If all of them send their next statement to the server that looked least loaded,
+// they overrun it, and then the next one. A VM therefore estimates what has come since from the VMs that choose like itself, and
+// gives each server the share of its own statements with which the loads become equal if all of them do the same.
+package even
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// averagingTime is the time constant of averages. It covers hundreds of statements of a busy server, and follows a change of
+	// demand within seconds.
+	averagingTime = time.Second
+	// newestServiceWeight is the share of the newest statement in the mean service time. The mean varies by a seventh of the
+	// deviation of single statements, and follows a server that has become slow within some 25 statements.
+	newestServiceWeight = 0.02
+	// maxReportAge is how old a report may be. What it says of the average load and of the speed of a server lasts much longer
+	// than the load at the moment of the report.
+	maxReportAge = 10 * time.Second
+)
+
+// Average is the average of a quantity over time. Recent times count more. The zero value is an average of 0.
+type Average struct {
+	mean, current float64
+	updated       time.Time
+}
+
+// Set records that the quantity is v from now on.
+func (a *Average) Set(now time.Time, v float64) {
+	a.mean, a.current, a.updated = a.Mean(now), v, now
+}
+
+// Mean returns the average until now.
+func (a *Average) Mean(now time.Time) float64 {
+	dt := now.Sub(a.updated)
+	if a.updated.IsZero() || dt <= 0 {
+		return a.mean
+	}
+	return a.current + (a.mean-a.current)*math.Exp(-dt.Seconds()/averagingTime.Seconds())
+}
+
+// Report is the load of a server as its owner knows it.
+type Report struct {
+	load    int
+	mean    float64
+	near    float64
+	service time.Duration
+}
+
+// NewReport returns a report. Load is the number of statements that run or wait, mean its average over the last second or so.
+// Near, in [0,1], is the share of the statements that come from the data centre of the VM for which the report is made. Service
+// is the mean time that the server takes for a statement.
+func NewReport(load int, mean, near float64, service time.Duration) Report {
+	return Report{load: max(load, 0), mean: max(mean, 0), near: min(max(near, 0), 1), service: service}
+}
+
+// Load returns the number of statements that run or wait.
+func (r Report) Load() int { return r.load }
+
+// Mean returns the average of the load.
+func (r Report) Mean() float64 { return r.mean }
+
+// Near returns the share of the statements that come from the data centre of the VM for which the report is made.
+func (r Report) Near() float64 { return r.near }
+
+// Service returns the mean time that the server takes for a statement.
+func (r Report) Service() time.Duration { return r.service }
+
+// Known reports whether the report says anything. The zero Report does not.
+func (r Report) Known() bool { return r.service > 0 }
+
+// Meter measures the load of a server at its owner. The zero value is ready to use. A Meter is not safe for concurrent use.
+type Meter struct {
+	load     Average
+	service  time.Duration
+	counted  time.Time
+	arrivals map[uint16]float64 // decayed number of statements by place
+}
+
+// SetLoad records how many statements run or wait from now on.
+func (m *Meter) SetLoad(now time.Time, n int) { m.load.Set(now, float64(n)) }
+
+// RecordService records how long the server took for a statement.
+func (m *Meter) RecordService(d time.Duration) {
+	if m.service == 0 {
+		m.service = d
+		return
+	}
+	m.service += time.Duration(newestServiceWeight * float64(d-m.service))
+}
+
+// RecordArrival records a statement or a transaction that comes from a place, which stands for a data centre.
+func (m *Meter) RecordArrival(now time.Time, place uint16) {
+	m.decay(now)
+	if m.arrivals == nil {
+		m.arrivals = make(map[uint16]float64)
+	}
+	m.arrivals[place]++
+}
+
+// decay reduces the counts of arrivals by their age. Places from which nothing has come for long are dropped.
+func (m *Meter) decay(now time.Time) {
+	dt := now.Sub(m.counted)
+	if dt <= 0 {
+		return
+	}
+	m.counted = now
+	left := math.Exp(-dt.Seconds() / averagingTime.Seconds())
+	for place, n := range m.arrivals {
+		if n *= left; n < 1e-3 {
+			delete(m.arrivals, place)
+			continue
+		}
+		m.arrivals[place] = n
+	}
+}
+
+// Report returns a report for a VM at a place, if load statements run or wait now. It is not Known before the first statement has
+// ended.
+func (m *Meter) Report(now time.Time, load int, place uint16) Report {
+	m.decay(now)
+	all := 0.0
+	for _, n := range m.arrivals {
+		all += n
+	}
+	near := 0.0
+	if all > 0 {
+		near = m.arrivals[place] / all
+	}
+	return NewReport(load, all/averagingTime.Seconds()*m.service.Seconds(), near, m.service)
+}
+
+// Estimate is what a VM knows of the load of one server: its own statements there, and the latest report. The zero value is ready
+// to use. An Estimate is not safe for concurrent use.
+type Estimate struct {
+	report     Report
+	reportedAt time.Time
+	others     int // statements of other VMs at the time of the report
+	own        int
+	ownAverage Average
+}
+
+// SetOwn records how many statements of this VM are at the server from now on.
+func (e *Estimate) SetOwn(now time.Time, n int) {
+	e.own = n
+	e.ownAverage.Set(now, float64(n))
+}
+
+// RecordReport records a report that was made just before now, after ended of this VM's own statements had ended at the server
+// whose end SetOwn has not been told yet.
+func (e *Estimate) RecordReport(now time.Time, r Report, ended int) {
+	if r.Known() {
+		e.report, e.reportedAt, e.others = r, now, max(r.load-max(e.own-ended, 0), 0)
+	}
+}
+
+// Latest returns the latest report and its age. It returns false if there is none, or if it is too old to be used.
+func (e *Estimate) Latest(now time.Time) (Report, time.Duration, bool) {
+	age := now.Sub(e.reportedAt)
+	return e.report, age, e.report.Known() && age <= maxReportAge
+}
+
+// expected returns how much work of others the server is expected to have: fixed work, and work that VMs which choose like this
+// one spread over the servers. Of the reported work as much is left as has not been replaced by newer work, the rest is taken to
+// be the average.
+func (e *Estimate) expected(now time.Time, slots int) (fixed, movable float64) {
+	r, age, known := e.Latest(now)
+	if !known {
+		return 0, 0
+	}
+	stay := r.service.Seconds() * max(1, float64(r.load)/float64(slots))
+	left := math.Exp(-max(age, 0).Seconds() / stay)
+	fixed = left*float64(e.others) + (1-left)*r.mean*(1-r.near)
+	movable = (1 - left) * max(r.mean*r.near-e.ownAverage.Mean(now), 0)
+	return fixed, movable
+}
+
+// Candidate is a server that may run a statement.
+type Candidate struct {
+	estimate *Estimate
+	slots    int
+	penalty  float64
+	fixed    bool
+	level    float64 // expected load per slot in work of a server of full speed, and the penalty
+	slope    float64 // by how much a statement raises level
+	spread   float64 // work that is spread to the server, in statements
+	share    float64
+}
+
+// NewCandidate returns a candidate with the estimate of its load. The penalty is in units of work per slot.
+func NewCandidate(e *Estimate, slots int, penalty float64) Candidate {
+	return Candidate{estimate: e, slots: max(slots, 1), penalty: penalty}
+}
+
+// WithFixedLoad returns the candidate of a server whose work VMs do not spread, such as that of a primary.
+func (c Candidate) WithFixedLoad() Candidate {
+	c.fixed = true
+	return c
+}
+
+// Share returns the share of the statements that the candidate gets, as Spread has determined it.
+func (c Candidate) Share() float64 { return c.share }
+
+// Load returns the expected load per slot without the penalty, as Spread has determined it, with the work that it has spread. A
+// statement of a server at a fifth of the speed of the fastest candidate counts five times.
+func (c Candidate) Load() float64 { return c.level - c.penalty + c.spread*c.slope }
+
+// Spread determines the share of each candidate. It returns false if no candidate has a report, so that there is nothing to go by.
+func Spread(now time.Time, candidates []Candidate) bool {
+	fastest, known := time.Duration(math.MaxInt64), false
+	for _, c := range candidates {
+		if r, _, ok := c.estimate.Latest(now); ok {
+			fastest, known = min(fastest, r.service), true
+		}
+	}
+	if !known {
+		return false
+	}
+	amount := 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		slowness := 1.0
+		if r, _, ok := c.estimate.Latest(now); ok {
+			slowness = float64(r.service) / float64(fastest)
+		}
+		fixed, movable := c.estimate.expected(now, c.slots)
+		if c.fixed {
+			fixed, movable = fixed+movable, 0
+		}
+		c.slope = slowness / float64(c.slots)
+		c.level = (float64(c.estimate.own)+fixed)*c.slope + c.penalty
+		amount += movable
+	}
+	fill(candidates, amount)
+	return true
+}
+
+// minAmount is the least work that is spread, in statements. It makes candidates of equal level share alike.
+const minAmount = 1e-6
+
+// fill pours amount over the candidates, the lowest level first, until those that get something are at the same level.
+func fill(candidates []Candidate, amount float64) {
+	amount = max(amount, minAmount)
+	order := make([]*Candidate, len(candidates))
+	for i := range candidates {
+		order[i] = &candidates[i]
+		order[i].share, order[i].spread = 0, 0
+	}
+	slices.SortStableFunc(order, func(a, b *Candidate) int {
+		switch {
+		case a.level < b.level:
+			return -1
+		case a.level > b.level:
+			return 1
+		}
+		return 0
+	})
+	// With n candidates below the surface, it is at (amount + sum of level/slope) / (sum of 1/slope).
+	width, volume, surface := 0.0, amount, 0.0
+	for i, c := range order {
+		width += 1 / c.slope
+		volume += c.level / c.slope
+		surface = volume / width
+		if i+1 == len(order) || surface <= order[i+1].level {
+			break
+		}
+	}
+	for _, c := range order {
+		if c.level < surface {
+			c.spread = (surface - c.level) / c.slope
+			c.share = c.spread / amount
+		}
+	}
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -5,8 +5,10 @@
 package route
 
 import (
+	"slices"
 	"time"
 
+	"verbenagate/core/even"
 	"verbenagate/core/point"
 	"verbenagate/core/port"
 	"verbenagate/core/work"
@@ -92,6 +94,9 @@
 	inFlight            int
 	consecutiveFailures int
 	blockedUntil        time.Time
+	estimate            even.Estimate
+	credit              float64 // by how many reads the server has had fewer than its shares since
+	chosen              uint64
 }
 
 // positionSample records when this VM learned that the primary had reached a point.
@@ -222,6 +227,8 @@
 	if s := t.serverByAddress(address); s != nil {
 		s.inFlight++
 		s.lastTriedAt = now
+		s.chosen++
+		s.estimate.SetOwn(now, s.inFlight)
 	}
 }
 
@@ -233,6 +240,7 @@
 		return
 	}
 	s.inFlight--
+	s.estimate.SetOwn(now, s.inFlight)
 	if !failed {
 		s.consecutiveFailures, s.blockedUntil = 0, time.Time{}
 		return
@@ -245,9 +253,19 @@
 	}
 }
 
+// RecordLoad records what the owner of a server reported about its load. Ended is how many of this VM's units had ended on the
+// server by then for which Finished has not been called yet.
+func (t *Table) RecordLoad(now time.Time, address string, r even.Report, ended int) {
+	if s := t.serverByAddress(address); s != nil {
+		s.estimate.RecordReport(now, r, ended)
+	}
+}
+
 // Choose returns the server for a unit with need n, other than those in excluded. It returns false if there is none.
 //
-// Replicas are preferred to the primary, which alone can run writes, until all their slots are in use.
+// Replicas are preferred to the primary, which alone can run writes, until all their slots are in use. Where owners report the
+// load of servers, reads are spread over the replicas by the shares of package even; without reports, a read goes to the server
+// with the lowest cost.
 func (t *Table) Choose(now time.Time, n Need, excluded []string) (string, bool) {
 	switch n := n.(type) {
 	case Primary:
@@ -270,29 +288,75 @@
 }
 
 func (t *Table) chooseForRead(now time.Time, excluded []string, eligible func(*server) bool) (string, bool) {
-	var best *server
+	var replicas []*server
 	for i := range t.servers {
 		s := &t.servers[i]
 		if s.address == t.primary || s.info.Leaving || now.Before(s.blockedUntil) || contains(excluded, s.address) || !eligible(s) {
 			continue
 		}
-		if best == nil || t.cost(s) < t.cost(best) {
-			best = s
-		}
+		replicas = append(replicas, s)
 	}
 	primary := t.serverByAddress(t.primary)
-	if primary == nil || contains(excluded, t.primary) {
-		if best == nil {
+	if primary != nil && contains(excluded, t.primary) {
+		primary = nil
+	}
+	if len(replicas) == 0 {
+		if primary == nil {
 			return "", false
 		}
-		return best.address, true
+		return primary.address, true
 	}
-	if best == nil || (load(best) >= 1 && load(primary)+t.costs.primaryPenalty < load(best)) {
+	if s := t.chooseByShare(now, replicas, primary); s != nil {
+		return s.address, true
+	}
+	best := replicas[0]
+	for _, s := range replicas[1:] {
+		if t.cost(s) < t.cost(best) {
+			best = s
+		}
+	}
+	if primary != nil && load(best) >= 1 && load(primary)+t.costs.primaryPenalty < load(best) {
 		return primary.address, true
 	}
 	return best.address, true
 }
 
+// chooseByShare chooses one of the replicas, or the primary if all their slots are in use, so that each gets its share of the
+// reads. It returns nil if no owner has reported the load of a replica.
+func (t *Table) chooseByShare(now time.Time, replicas []*server, primary *server) *server {
+	candidates := make([]even.Candidate, 0, len(replicas)+1)
+	for _, s := range replicas {
+		candidates = append(candidates, even.NewCandidate(&s.estimate, s.slots, t.penalty(s)))
+	}
+	if !even.Spread(now, candidates) {
+		return nil
+	}
+	if primary != nil && !slices.ContainsFunc(candidates, func(c even.Candidate) bool { return c.Load() < 1 }) {
+		replicas = append(replicas, primary)
+		candidates = append(candidates, even.NewCandidate(&primary.estimate, primary.slots, t.costs.primaryPenalty).WithFixedLoad())
+		even.Spread(now, candidates)
+	}
+	return takeByShare(replicas, candidates)
+}
+
+// maxCredit bounds what a server may be owed, so that it gets no burst of reads after a time in which it could not have any.
+const maxCredit = 1
+
+// takeByShare adds each server's share to its credit and takes the one with the most credit, less the units of this VM that run
+// there. A VM's own reads are thus spread more evenly than by chance, and away from a server at which they are held up.
+func takeByShare(servers []*server, candidates []even.Candidate) *server {
+	var best *server
+	for i, s := range servers {
+		share := candidates[i].Share()
+		s.credit = min(s.credit+share, maxCredit)
+		if share > 0 && (best == nil || s.credit-float64(s.inFlight) > best.credit-float64(best.inFlight)) {
+			best = s
+		}
+	}
+	best.credit = max(best.credit-1, -maxCredit)
+	return best
+}
+
 // expectedToCover reports whether the replica has probably applied p: it reported so, or the primary reached p longer ago than
 // the estimated lag. It also returns true when the replica is due for a probe.
 func (t *Table) expectedToCover(now time.Time, s *server, p point.Point) bool {
@@ -349,12 +413,44 @@
 	return float64(max(s.info.Queue+s.info.Running, s.inFlight)) / float64(s.slots)
 }
 
-func (t *Table) cost(s *server) float64 {
-	c := load(s)
-	if !s.local {
-		c += t.costs.remotePenalty
+func (t *Table) cost(s *server) float64 { return load(s) + t.penalty(s) }
+
+func (t *Table) penalty(s *server) float64 {
+	if s.local {
+		return 0
+	}
+	return t.costs.remotePenalty
+}
+
+// Share is what a table knows of the load of one server, for a diagnostic dump.
+type Share struct {
+	Server string `json:"server"`
+	// Chosen is the number of units sent to the server since the table was made, InFlight that of those that have not ended.
+	Chosen   uint64 `json:"chosen"`
+	InFlight int    `json:"in_flight"`
+	// Load, Mean, Near and ServiceMS are those of the latest report, which is AgeMS old. Without a report they are 0.
+	Load      int     `json:"load"`
+	Mean      float64 `json:"mean_load"`
+	Near      float64 `json:"near"`
+	ServiceMS float64 `json:"service_ms"`
+	AgeMS     float64 `json:"age_ms"`
+	// Reported says whether there is a report that is young enough to be used.
+	Reported bool `json:"reported"`
+}
+
+// Shares returns what the table knows of the load of each server.
+func (t *Table) Shares(now time.Time) []Share {
+	all := make([]Share, 0, len(t.servers))
+	for i := range t.servers {
+		s := &t.servers[i]
+		d := Share{Server: s.address, Chosen: s.chosen, InFlight: s.inFlight}
+		if r, age, ok := s.estimate.Latest(now); ok {
+			d.Load, d.Mean, d.Near, d.Reported = r.Load(), r.Mean(), r.Near(), true
+			d.ServiceMS, d.AgeMS = float64(r.Service())/float64(time.Millisecond), float64(age)/float64(time.Millisecond)
+		}
+		all = append(all, d)
 	}
-	return c
+	return all
 }
 
 func contains(list []string, s string) bool {
