--- a/core/even/even.go
+++ b/core/even/even.go
@@ -10,17 +10,19 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	// averagingTime is the time constant of averages. It covers hundreds of statements of a busy server, and follows a change of
 	// demand within seconds.
 	averagingTime = time.Second
-	// newestServiceWeight is the share of the newest statement in the mean service time. The mean varies by a seventh of the
-	// deviation of single statements, and follows a server that has become slow within some 25 statements.
+	// newestServiceWeight is the share of the newest statement in the mean service time. The mean varies by a tenth of the
+	// deviation of single statements, and follows a server that has become slow within some 50 statements.
 	newestServiceWeight = 0.02
-	// maxReportAge is how old a report may be. What it says of the average load and of the speed of a server lasts much longer
-	// than the load at the moment of the report.
+	// maxReportAge is how old a report may be. What it says of the demand and of the speed of a server lasts much longer than the
+	// load at the moment of the report.
 	maxReportAge = 10 * time.Second
 )
 
@@ -47,25 +49,25 @@
 // Report is the load of a server as its owner knows it.
 type Report struct {
 	load    int
-	mean    float64
+	demand  float64
 	near    float64
 	service time.Duration
 }
 
-// NewReport returns a report. Load is the number of statements that run or wait, mean its average over the last second or so.
-// Near, in [0,1], is the share of the statements that come from the data centre of the VM for which the report is made. Service
-// is the mean time that the server takes for a statement.
-func NewReport(load int, mean, near float64, service time.Duration) Report {
-	return Report{load: max(load, 0), mean: max(mean, 0), near: min(max(near, 0), 1), service: service}
+// NewReport returns a report. Load is the number of statements that run or wait. Demand is how many slots the statements of the
+// last second or so need on average, whether or not the server has them. Near, in [0,1], is the share of the statements that come
+// from the place of the VM for which the report is made. Service is the mean time that the server takes for a statement.
+func NewReport(load int, demand, near float64, service time.Duration) Report {
+	return Report{load: max(load, 0), demand: max(demand, 0), near: min(max(near, 0), 1), service: service}
 }
 
 // Load returns the number of statements that run or wait.
 func (r Report) Load() int { return r.load }
 
-// Mean returns the average of the load.
-func (r Report) Mean() float64 { return r.mean }
+// Demand returns how many slots the statements need on average.
+func (r Report) Demand() float64 { return r.demand }
 
-// Near returns the share of the statements that come from the data centre of the VM for which the report is made.
+// Near returns the share of the statements that come from the place of the VM for which the report is made.
 func (r Report) Near() float64 { return r.near }
 
 // Service returns the mean time that the server takes for a statement.
@@ -74,16 +76,27 @@
 // Known reports whether the report says anything. The zero Report does not.
 func (r Report) Known() bool { return r.service > 0 }
 
+// Place stands for the VMs that choose alike. See PlaceOf.
+type Place uint16
+
+// PlaceOf returns the place of the VMs of a data centre to which some servers of the group are nearer than others. For all other
+// VMs the servers are equally far, and their place is 0. Two data centres may get the same place, which makes their VMs share out
+// more carefully than needed.
+func PlaceOf(dataCentre string) Place { return Place(xxhash.Sum64String(dataCentre) | 1) }
+
 // Meter measures the load of a server at its owner. The zero value is ready to use. A Meter is not safe for concurrent use.
 type Meter struct {
-	load     Average
-	service  time.Duration
-	counted  time.Time
-	arrivals map[uint16]float64 // decayed number of statements by place
+	service    time.Duration
+	counted    time.Time         // until when the counts have been decayed
+	statements float64           // decayed
+	origins    map[Place]float64 // decayed numbers of statements and transactions
 }
 
-// SetLoad records how many statements run or wait from now on.
-func (m *Meter) SetLoad(now time.Time, n int) { m.load.Set(now, float64(n)) }
+// RecordStatement records a statement that is to run on the server.
+func (m *Meter) RecordStatement(now time.Time) {
+	m.decay(now)
+	m.statements++
+}
 
 // RecordService records how long the server took for a statement.
 func (m *Meter) RecordService(d time.Duration) {
@@ -94,16 +107,16 @@
 	m.service += time.Duration(newestServiceWeight * float64(d-m.service))
 }
 
-// RecordArrival records a statement or a transaction that comes from a place, which stands for a data centre.
-func (m *Meter) RecordArrival(now time.Time, place uint16) {
+// RecordOrigin records from which place a statement or a transaction comes.
+func (m *Meter) RecordOrigin(now time.Time, p Place) {
 	m.decay(now)
-	if m.arrivals == nil {
-		m.arrivals = make(map[uint16]float64)
+	if m.origins == nil {
+		m.origins = make(map[Place]float64)
 	}
-	m.arrivals[place]++
+	m.origins[p]++
 }
 
-// decay reduces the counts of arrivals by their age. Places from which nothing has come for long are dropped.
+// decay reduces the counts by their age. Places from which nothing has come for long are dropped.
 func (m *Meter) decay(now time.Time) {
 	dt := now.Sub(m.counted)
 	if dt <= 0 {
@@ -111,28 +124,28 @@
 	}
 	m.counted = now
 	left := math.Exp(-dt.Seconds() / averagingTime.Seconds())
-	for place, n := range m.arrivals {
+	m.statements *= left
+	for place, n := range m.origins {
 		if n *= left; n < 1e-3 {
-			delete(m.arrivals, place)
+			delete(m.origins, place)
 			continue
 		}
-		m.arrivals[place] = n
+		m.origins[place] = n
 	}
 }
 
 // Report returns a report for a VM at a place, if load statements run or wait now. It is not Known before the first statement has
 // ended.
-func (m *Meter) Report(now time.Time, load int, place uint16) Report {
+func (m *Meter) Report(now time.Time, load int, p Place) Report {
 	m.decay(now)
-	all := 0.0
-	for _, n := range m.arrivals {
+	all, near := 0.0, 0.0
+	for _, n := range m.origins {
 		all += n
 	}
-	near := 0.0
 	if all > 0 {
-		near = m.arrivals[place] / all
+		near = m.origins[p] / all
 	}
-	return NewReport(load, all/averagingTime.Seconds()*m.service.Seconds(), near, m.service)
+	return NewReport(load, m.statements/averagingTime.Seconds()*m.service.Seconds(), near, m.service)
 }
 
 // Estimate is what a VM knows of the load of one server: its own statements there, and the latest report. The zero value is ready
@@ -166,8 +179,9 @@
 }
 
 // expected returns how much work of others the server is expected to have: fixed work, and work that VMs which choose like this
-// one spread over the servers. Of the reported work as much is left as has not been replaced by newer work, the rest is taken to
-// be the average.
+// one spread over the servers. Of the reported work as much is left as has not been replaced by newer work. Of newer work there is
+// taken to be as much as the demand, which, unlike an average of the load, grows only in proportion to the statements sent: with
+// an average, the corrections of all VMs together would be too large at high load.
 func (e *Estimate) expected(now time.Time, slots int) (fixed, movable float64) {
 	r, age, known := e.Latest(now)
 	if !known {
@@ -175,8 +189,8 @@
 	}
 	stay := r.service.Seconds() * max(1, float64(r.load)/float64(slots))
 	left := math.Exp(-max(age, 0).Seconds() / stay)
-	fixed = left*float64(e.others) + (1-left)*r.mean*(1-r.near)
-	movable = (1 - left) * max(r.mean*r.near-e.ownAverage.Mean(now), 0)
+	fixed = left*float64(e.others) + (1-left)*r.demand*(1-r.near)
+	movable = (1 - left) * max(r.demand*r.near-e.ownAverage.Mean(now), 0)
 	return fixed, movable
 }
 
--- a/core/route/even_test.go
+++ b/core/route/even_test.go
@@ -25,7 +25,7 @@
 		{"30 VMs, one DC .85", with(func(t *trial) { t.dataCentres, t.load = 1, .85 })},
 		{"300 VMs, one DC .85", with(func(t *trial) { t.vms, t.dataCentres, t.load = 300, 1, .85 })},
 	} {
-		for _, age := range []time.Duration{50 * time.Millisecond, 500*time.Millisecond, 2 * time.Second} {
+		for _, age := range []time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second} {
 			for _, p := range []policy{ownCounts, random, lastReport, decayingReport, byShare, centralQueue} {
 				if age > 100*time.Millisecond && p.report == nil {
 					continue
--- a/core/route/fleet_test.go
+++ b/core/route/fleet_test.go
@@ -23,14 +23,14 @@
 	age  time.Duration
 	load float64 // demand, as a share of what the replicas can do
 	// slow is by how much server slowServer of the first group is slower than the others; 0 for equal servers.
-	slow       float64
+	slow float64
 	// dataCentres is in how many data centres the VMs are. The servers are in the first three.
 	dataCentres int
 	anywhere    bool // servers in other data centres cost no more
 	// skew is the demand of each VM of data centre 1, as a multiple of that of other VMs.
-	skew float64
-	policy     policy
-	seed       uint64
+	skew   float64
+	policy policy
+	seed   uint64
 }
 
 const (
@@ -104,7 +104,7 @@
 	decayingReport = policy{
 		name: "own requests and a decaying report", choose: chooseByTable,
 		report: func(v *trialVM, now time.Time, server int, r even.Report) {
-			v.table.RecordLoad(now, serverName(server), even.NewReport(r.Load(), r.Mean(), 0, r.Service()), 1)
+			v.table.RecordLoad(now, serverName(server), even.NewReport(r.Load(), r.Demand(), 0, r.Service()), 1)
 		},
 	}
 	byShare = policy{
@@ -118,7 +118,7 @@
 
 type trialVM struct {
 	dataCentre int
-	place      uint16
+	place      even.Place
 	table      *Table
 	reportedAt []time.Time
 }
@@ -235,9 +235,6 @@
 	}
 	for i := range tr.vms {
 		v := trialVM{dataCentre: i % tr.dataCentres, reportedAt: make([]time.Time, tr.groupSize)}
-		if v.dataCentre > 0 && v.dataCentre < min(tr.groupSize, 3) && !tr.anywhere {
-			v.place = uint16(v.dataCentre)
-		}
 		var members []Member
 		// As in io/pool, each VM has an order of its own among servers of the same cost.
 		for _, id := range owner.Order(fmt.Sprint("vm", i, "/", n), ids) {
@@ -250,6 +247,9 @@
 		for k := 1; k < tr.groupSize; k++ {
 			v.table.RecordReport(start, work.ServerInfo{Address: serverName(k), Term: 1, Applied: 1, Role: port.RoleReplica})
 		}
+		if !tr.anywhere {
+			v.place = v.table.Place()
+		}
 		g.vms = append(g.vms, v)
 	}
 	return g
@@ -283,9 +283,7 @@
 			took := time.Duration(float64(r.work) * s.slowness)
 			end := now.Add(took)
 			after(end.Sub(start), func(now time.Time) {
-				s.meter.SetLoad(now, s.load())
 				s.running--
-				s.meter.SetLoad(now, s.load())
 				s.meter.RecordService(took)
 				v := &g.vms[r.vm]
 				report := s.meter.Report(now, s.load(), v.place)
@@ -303,7 +301,6 @@
 				serve(i, now)
 			})
 		}
-		s.meter.SetLoad(now, s.load())
 	}
 	var arrive func(now time.Time)
 	arrive = func(now time.Time) {
@@ -338,7 +335,8 @@
 			}
 		}
 		after(now.Add(delay(v.dataCentre, s.dataCentre)).Sub(start), func(now time.Time) {
-			s.meter.RecordArrival(now, v.place)
+			s.meter.RecordOrigin(now, v.place)
+			s.meter.RecordStatement(now)
 			s.waiting = append(s.waiting, r)
 			serve(i, now)
 		})
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -253,6 +253,14 @@
 	}
 }
 
+// Place returns the place of the VM among those that choose servers of this group: that of its data centre if a replica is there.
+func (t *Table) Place() even.Place {
+	if slices.ContainsFunc(t.servers, func(s server) bool { return s.local && s.address != t.primary }) {
+		return even.PlaceOf(t.localDataCentre)
+	}
+	return 0
+}
+
 // RecordLoad records what the owner of a server reported about its load. Ended is how many of this VM's units had ended on the
 // server by then for which Finished has not been called yet.
 func (t *Table) RecordLoad(now time.Time, address string, r even.Report, ended int) {
@@ -428,9 +436,10 @@
 	// Chosen is the number of units sent to the server since the table was made, InFlight that of those that have not ended.
 	Chosen   uint64 `json:"chosen"`
 	InFlight int    `json:"in_flight"`
-	// Load, Mean, Near and ServiceMS are those of the latest report, which is AgeMS old. Without a report they are 0.
+	// Load, Demand, Near and ServiceMS are those of the latest report, which is AgeMS old; see even.NewReport. Without a report
+	// they are 0.
 	Load      int     `json:"load"`
-	Mean      float64 `json:"mean_load"`
+	Demand    float64 `json:"demand"`
 	Near      float64 `json:"near"`
 	ServiceMS float64 `json:"service_ms"`
 	AgeMS     float64 `json:"age_ms"`
@@ -445,7 +454,7 @@
 		s := &t.servers[i]
 		d := Share{Server: s.address, Chosen: s.chosen, InFlight: s.inFlight}
 		if r, age, ok := s.estimate.Latest(now); ok {
-			d.Load, d.Mean, d.Near, d.Reported = r.Load(), r.Mean(), r.Near(), true
+			d.Load, d.Demand, d.Near, d.Reported = r.Load(), r.Demand(), r.Near(), true
 			d.ServiceMS, d.AgeMS = float64(r.Service())/float64(time.Millisecond), float64(age)/float64(time.Millisecond)
 		}
 		all = append(all, d)
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -155,6 +155,7 @@
 func (g *Group) Choose(need route.Need, excluded []string) (string, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.recordOwnLoads()
 	now := g.clock()
 	id, ok := "", false
 	unreachable := g.unreachableServers()
@@ -427,6 +428,8 @@
 	Leader  string  `json:"leader"`
 	Version uint64  `json:"version"`
 	Pools   []State `json:"pools"`
+	// Shares is how this VM spreads its statements over the servers, and what it knows of their load.
+	Shares []route.Share `json:"shares"`
 }
 
 // State returns a copy of the state of all groups.
@@ -445,6 +448,7 @@
 				state.Pools = append(state.Pools, ps)
 			}
 		}
+		state.Shares = g.table.Shares(g.clock())
 		g.mu.Unlock()
 		all = append(all, state)
 	}
--- /dev/null
+++ b/io/pool/load.go
@@ -0,0 +1,66 @@
+package pool
+
+import "verbenagate/core/even"
+
+// recordOrigin records from which place a statement or a transaction comes that uses the server through this VM.
+func (p *Pool) recordOrigin(place even.Place) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.meter.RecordOrigin(p.clock(), place)
+}
+
+// load returns the load of the server as far as statements use it through this VM, for a VM at a place.
+func (p *Pool) load(place even.Place) even.Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.meter.Report(p.clock(), p.running+p.slotWaiters.Len()+p.connWaiters.Len(), place)
+}
+
+// owns reports whether all statements for a server go through this VM, as long as VMs reach it. The caller holds mu.
+func (g *Group) owns(server string) bool {
+	list := g.owners[server]
+	return len(list) > 0 && list[0].Name() == g.vm
+}
+
+// Place returns the place of this VM among those that choose servers of the group.
+func (g *Group) Place() even.Place {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Place()
+}
+
+// RecordOrigin records that a statement or a transaction of a VM at a place uses a server through this VM.
+func (g *Group) RecordOrigin(server string, place even.Place) {
+	if p, ok := g.Pool(server); ok {
+		p.recordOrigin(place)
+	}
+}
+
+// Load returns the load of a server for a VM at a place. It is not Known unless this VM owns the server, since only the owner sees
+// the statements of all VMs.
+func (g *Group) Load(server string, place even.Place) even.Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p, ok := g.pools[server]; ok && g.owns(server) {
+		return p.load(place)
+	}
+	return even.Report{}
+}
+
+// RecordLoad records the load of a server that its owner reported with the answer to a statement, which has not been counted as
+// finished yet.
+func (g *Group) RecordLoad(server string, r even.Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.RecordLoad(g.clock(), server, r, 1)
+}
+
+// recordOwnLoads records the present loads of the servers that this VM owns. The caller holds mu.
+func (g *Group) recordOwnLoads() {
+	now, place := g.clock(), g.table.Place()
+	for _, s := range g.members {
+		if p, ok := g.pools[s.ID()]; ok && g.owns(s.ID()) {
+			g.table.RecordLoad(now, s.ID(), p.load(place), 0)
+		}
+	}
+}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"verbenagate/core/admit"
+	"verbenagate/core/even"
 	"verbenagate/core/event"
 	"verbenagate/core/exec"
 	"verbenagate/core/layout"
@@ -187,6 +188,7 @@
 	idle             []*Conn
 	connWaiters      admit.Queue[*connWaiter]
 	gate             admit.Gate
+	meter            even.Meter
 	running          int // statements that occupy a slot of the server
 	slotWaiters      admit.Queue[*slotWaiter]
 	dialBlockedUntil time.Time // until then Acquire opens no connection
@@ -402,6 +404,7 @@
 // acquireSlot waits until one more statement may run on the server. It returns false if that takes longer than timeout.
 func (p *Pool) acquireSlot(timeout time.Duration, rank admit.Rank) bool {
 	p.mu.Lock()
+	p.meter.RecordStatement(p.clock())
 	if p.running < p.limits.maxRunning {
 		p.running++
 		p.mu.Unlock()
@@ -427,6 +430,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.gate.RecordServiceTime(serviceTime)
+	p.meter.RecordService(serviceTime)
 	p.running--
 	p.grantSlots()
 }
--- a/io/pool/shared.go
+++ b/io/pool/shared.go
@@ -72,6 +72,7 @@
 	g.mu.Lock()
 	p, ok := g.pools[id]
 	owners, forwarder := g.owners[id], g.forwarder
+	place := g.table.Place()
 	g.mu.Unlock()
 	if !ok {
 		return nil, notRegisteredError(id)
@@ -88,6 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.recordOrigin(place)
 	return c, nil
 }
 
--- a/io/remote/caller.go
+++ b/io/remote/caller.go
@@ -164,7 +164,7 @@
 	q.Group, q.Server, q.Session, q.Priority = s.group.Name(), s.server, s.id, priority
 	q.Timeout, q.AnswerWithin = timeout, answerWithin
 	if s.id == 0 || q.Kind == kindBegin {
-		q.MaxAge = s.request.MaxAge
+		q.MaxAge, q.Place = s.request.MaxAge, s.group.Place()
 	}
 	if s.id == 0 || s.sentValues == nil || !maps.Equal(s.values, s.sentValues) {
 		q.Values, s.sentValues = s.values, maps.Clone(s.values)
@@ -188,6 +188,7 @@
 		return exec.Result{}, sent, err
 	}
 	s.caller.paths.RecordAnswer(s.owner)
+	s.group.RecordLoad(s.server, r.Load.report())
 	if r.Error != 0 {
 		if r.Error == result.ShuttingDown {
 			s.caller.pause(s.owner, stoppingOwnerPause, result.New(r.Error, "%s", r.Message))
--- a/io/remote/message.go
+++ b/io/remote/message.go
@@ -1,8 +1,10 @@
 package remote
 
 import (
+	"math"
 	"time"
 
+	"verbenagate/core/even"
 	"verbenagate/core/exec"
 	"verbenagate/core/point"
 	"verbenagate/core/query"
@@ -29,6 +31,8 @@
 	Timeout      time.Duration `cbor:"14,keyasint"`
 	AnswerWithin time.Duration `cbor:"15,keyasint"` // see pool.AcquireRequest
 	Priority     int           `cbor:"16,keyasint,omitempty"`
+	// Place is that of the calling VM; see even.PlaceOf.
+	Place even.Place `cbor:"18,keyasint,omitempty"`
 }
 
 // kind is the kind of a request.
@@ -77,6 +81,38 @@
 	State        query.State `cbor:"8,keyasint,omitempty"`
 	Term         uint64      `cbor:"9,keyasint,omitempty"`
 	Number       uint64      `cbor:"10,keyasint,omitempty"`
+	// Load is the load of the server, nil if the replying VM does not know it. It travels with the answers, so that knowing it
+	// takes no calls.
+	Load *load `cbor:"11,keyasint,omitempty"`
+}
+
+// load is an even.Report in a form that takes few bytes.
+type load struct {
+	_             struct{} `cbor:",toarray"`
+	Statements    uint
+	DemandPercent uint
+	NearPercent   uint
+	ServiceMicros uint
+}
+
+// newLoad returns the message for a report, nil if the report is not known.
+func newLoad(r even.Report) *load {
+	if !r.Known() {
+		return nil
+	}
+	return &load{
+		Statements: uint(r.Load()), DemandPercent: uint(math.Round(100 * r.Demand())), NearPercent: uint(math.Round(100 * r.Near())),
+		ServiceMicros: uint(max(r.Service().Microseconds(), 1)),
+	}
+}
+
+// report returns the report in the message. It is not Known if there is none. Values that no server can have are cut off.
+func (l *load) report() even.Report {
+	if l == nil {
+		return even.Report{}
+	}
+	return even.NewReport(int(min(l.Statements, math.MaxInt32)), float64(l.DemandPercent)/100, float64(l.NearPercent)/100,
+		time.Duration(min(l.ServiceMicros, math.MaxInt32))*time.Microsecond)
 }
 
 func errorReply(err error, sent, serverFailed bool) runReply {
--- a/io/remote/owner.go
+++ b/io/remote/owner.go
@@ -85,6 +85,7 @@
 		}
 		defer o.end()
 		reply := o.run(ctx, from, q)
+		reply.Load = o.load(q)
 		if reply.Error != 0 {
 			o.log.Event(event.ForwardFailed, zap.String("id", q.ID), zap.String("server", q.Server),
 				zap.String("result", result.Lookup(reply.Error).Name()), zap.String("message", reply.Message),
@@ -154,6 +155,16 @@
 	o.running--
 }
 
+// load returns the load of the server of a request whose answer is ready, nil if it is not known here. Within a transaction the
+// calling VM has no server to choose.
+func (o *Owner) load(q runCall) *load {
+	g, ok := o.pools.Group(q.Group)
+	if !ok || q.Session != 0 && q.Kind != kindBegin {
+		return nil
+	}
+	return newLoad(g.Load(q.Server, q.Place))
+}
+
 // run runs a request on its server.
 func (o *Owner) run(ctx context.Context, from *link.Inbound, q runCall) runReply {
 	deadline := o.clock().Add(q.Timeout)
@@ -187,6 +198,7 @@
 		}
 		return errorReply(err, false, failed)
 	}
+	g.RecordOrigin(q.Server, q.Place)
 	reply := o.runOn(g, c, q, after, deadline)
 	if q.Kind == kindBegin && reply.Error == 0 && reply.State == query.Open {
 		o.hold(from, q.Session, c)
