--- a/core/route/fleet_test.go
+++ b/core/route/fleet_test.go
@@ -55,13 +55,17 @@
 	choose func(t *trialGroup, v *trialVM, now time.Time) int
 	// report tells a VM's table the load of a server; nil if the policy uses no reports.
 	report func(v *trialVM, now time.Time, server int, r even.Report)
+	// sendBack says that owners send reads back as the VM's table asks them to.
+	sendBack bool
 	// central says that the reads of a group wait in one queue for all replicas.
 	central bool
 }
 
-func chooseByTable(_ *trialGroup, v *trialVM, now time.Time) int {
-	// The primary is left out, since it has other work.
-	id, ok := v.table.Choose(now, NewAtLeast(point.New(1, 1)), []string{"s0"})
+func chooseByTable(_ *trialGroup, v *trialVM, now time.Time) int { return chooseOther(v, now, "s0") }
+
+// chooseOther chooses a replica other than one. The primary is left out, since it has other work.
+func chooseOther(v *trialVM, now time.Time, excluded string) int {
+	id, ok := v.table.Choose(now, NewAtLeast(point.New(1, 1)), []string{"s0", excluded})
 	if !ok {
 		return -1
 	}
@@ -113,7 +117,8 @@
 			v.table.RecordLoad(now, serverName(server), r, 1)
 		},
 	}
-	centralQueue = policy{name: "central queue", central: true}
+	sharesAndSentBack = policy{name: "shares, and sent back by owners", choose: chooseByTable, report: byShare.report, sendBack: true}
+	centralQueue      = policy{name: "central queue", central: true}
 )
 
 type trialVM struct {
@@ -136,9 +141,10 @@
 func (s *trialServer) load() int { return s.running + len(s.waiting) }
 
 type trialRead struct {
-	vm   int
-	work time.Duration
-	sent time.Time
+	vm         int
+	work       time.Duration
+	sent       time.Time
+	sendBackAt int
 }
 
 type trialGroup struct {
@@ -155,6 +161,7 @@
 	swing     float64 // standard deviation of the load of a replica over time, averaged over the replicas
 	mean, p99 time.Duration
 	remote    float64 // share of the reads in another data centre than their VM
+	again     float64 // share of the reads that owners sent back
 	slowShare float64 // share of the first group's reads on the slow server
 }
 
@@ -183,10 +190,10 @@
 	var latencies []time.Duration
 	var f figures
 	var arrivals []float64
-	remote := 0
+	remote, sentBack := 0, 0
 	for n := range tr.groups {
-		g, took, elsewhere := tr.runGroup(n)
-		latencies, remote = append(latencies, took...), remote+elsewhere
+		g, took, elsewhere, again := tr.runGroup(n)
+		latencies, remote, sentBack = append(latencies, took...), remote+elsewhere, sentBack+again
 		all := 0
 		for _, i := range g.replicas {
 			s := &g.servers[i]
@@ -205,7 +212,7 @@
 		total += a
 	}
 	f.busiest = slices.Max(arrivals) / (total / float64(len(arrivals)))
-	f.remote = float64(remote) / total
+	f.remote, f.again = float64(remote)/total, float64(sentBack)/total*float64(trialLength-trialWarmUp)/float64(trialLength)
 	slices.Sort(latencies)
 	sum := time.Duration(0)
 	for _, l := range latencies {
@@ -255,7 +262,7 @@
 	return g
 }
 
-func (tr trial) runGroup(n int) (g *trialGroup, latencies []time.Duration, remote int) {
+func (tr trial) runGroup(n int) (g *trialGroup, latencies []time.Duration, remote, sentBack int) {
 	g = tr.newGroup(n)
 	demand := rand.New(rand.NewPCG(tr.seed, uint64(n)))
 	capacity := 0.0 // statements/s
@@ -302,6 +309,36 @@
 			})
 		}
 	}
+	var send func(i int, r trialRead, now time.Time)
+	send = func(i int, r trialRead, now time.Time) {
+		v, s := &g.vms[r.vm], &g.servers[i]
+		way := delay(v.dataCentre, s.dataCentre)
+		after(now.Add(way).Sub(start), func(now time.Time) {
+			if r.sendBackAt > 0 && s.load() >= r.sendBackAt {
+				report := s.meter.Report(now, s.load(), v.place)
+				r.sendBackAt = 0
+				sentBack++
+				after(now.Add(way).Sub(start), func(now time.Time) {
+					v.table.Finished(now, serverName(i), false, 0)
+					v.table.RecordLoad(now, serverName(i), report, 0)
+					other := chooseOther(v, now, serverName(i))
+					v.table.Started(now, serverName(other))
+					send(other, r, now)
+				})
+				return
+			}
+			if now.Sub(start) > trialWarmUp {
+				s.arrivals++
+				if s.dataCentre != v.dataCentre {
+					remote++
+				}
+			}
+			s.meter.RecordOrigin(now, v.place)
+			s.meter.RecordStatement(now)
+			s.waiting = append(s.waiting, r)
+			serve(i, now)
+		})
+	}
 	var arrive func(now time.Time)
 	arrive = func(now time.Time) {
 		after(now.Add(time.Duration(demand.ExpFloat64()/rate*float64(time.Second))).Sub(start), arrive)
@@ -326,20 +363,11 @@
 		if i < 0 {
 			panic("no server chosen")
 		}
-		v.table.Started(now, serverName(i))
-		s := &g.servers[i]
-		if now.Sub(start) > trialWarmUp {
-			s.arrivals++
-			if s.dataCentre != v.dataCentre {
-				remote++
-			}
+		if tr.policy.sendBack {
+			r.sendBackAt = v.table.SendBackAt(now, NewAtLeast(point.New(1, 1)), serverName(i), nil)
 		}
-		after(now.Add(delay(v.dataCentre, s.dataCentre)).Sub(start), func(now time.Time) {
-			s.meter.RecordOrigin(now, v.place)
-			s.meter.RecordStatement(now)
-			s.waiting = append(s.waiting, r)
-			serve(i, now)
-		})
+		v.table.Started(now, serverName(i))
+		send(i, r, now)
 	}
 	var sample func(now time.Time)
 	sample = func(now time.Time) {
@@ -357,7 +385,7 @@
 	for {
 		e := heap.Pop(&events).(trialEvent)
 		if e.at > trialLength {
-			return g, latencies, remote
+			return g, latencies, remote, sentBack
 		}
 		e.run(start.Add(e.at))
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -5,6 +5,8 @@
 package route
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -275,17 +277,39 @@
 // load of servers, reads are spread over the replicas by the shares of package even; without reports, a read goes to the server
 // with the lowest cost.
 func (t *Table) Choose(now time.Time, n Need, excluded []string) (string, bool) {
-	switch n := n.(type) {
+	switch n.(type) {
 	case Primary:
 		return t.choosePrimary(excluded)
+	case AtLeast, MaxAge:
+		return t.chooseForRead(now, n, excluded)
+	}
+	return "", false
+}
+
+// replicasFor returns the replicas, other than those in excluded, that can probably run a unit with need n.
+func (t *Table) replicasFor(now time.Time, n Need, excluded []string) []*server {
+	var replicas []*server
+	for i := range t.servers {
+		s := &t.servers[i]
+		if s.address == t.primary || s.info.Leaving || now.Before(s.blockedUntil) || contains(excluded, s.address) {
+			continue
+		}
+		if t.expectedToMeet(now, s, n) {
+			replicas = append(replicas, s)
+		}
+	}
+	return replicas
+}
+
+// expectedToMeet reports whether the replica probably meets a need.
+func (t *Table) expectedToMeet(now time.Time, s *server, n Need) bool {
+	switch n := n.(type) {
 	case AtLeast:
-		return t.chooseForRead(now, excluded, func(s *server) bool { return t.expectedToCover(now, s, n.point) })
+		return t.expectedToCover(now, s, n.point)
 	case MaxAge:
-		return t.chooseForRead(now, excluded, func(s *server) bool {
-			return !s.lagKnown || s.estimatedLag <= n.age || isProbeDue(now, s)
-		})
+		return !s.lagKnown || s.estimatedLag <= n.age || isProbeDue(now, s)
 	}
-	return "", false
+	return false
 }
 
 func (t *Table) choosePrimary(excluded []string) (string, bool) {
@@ -295,15 +319,8 @@
 	return t.primary, true
 }
 
-func (t *Table) chooseForRead(now time.Time, excluded []string, eligible func(*server) bool) (string, bool) {
-	var replicas []*server
-	for i := range t.servers {
-		s := &t.servers[i]
-		if s.address == t.primary || s.info.Leaving || now.Before(s.blockedUntil) || contains(excluded, s.address) || !eligible(s) {
-			continue
-		}
-		replicas = append(replicas, s)
-	}
+func (t *Table) chooseForRead(now time.Time, n Need, excluded []string) (string, bool) {
+	replicas := t.replicasFor(now, n, excluded)
 	primary := t.serverByAddress(t.primary)
 	if primary != nil && contains(excluded, t.primary) {
 		primary = nil
@@ -347,6 +364,35 @@
 	return takeByShare(replicas, candidates)
 }
 
+const (
+	// minSendBackLoad is the load per slot below which a unit is not worth a second hop: about as much work runs as waits.
+	minSendBackLoad = 2
+	// sendBackMargin is by how much the load per slot must exceed that of another replica. The load of that one is an estimate, and
+	// all VMs whose units are sent back come to it.
+	sendBackMargin = 1
+)
+
+// SendBackAt returns from how much load on, in units that run or wait ahead, the owner of the chosen server should send a unit with
+// need n back, so that it goes to another replica. Only the owner knows the load exactly, and the choice may prove wrong. It
+// returns 0 if the unit must not be sent back: it has been at one of excluded, or no other replica is known to have room for it.
+func (t *Table) SendBackAt(now time.Time, n Need, chosen string, excluded []string) int {
+	s := t.serverByAddress(chosen)
+	if s == nil || chosen == t.primary || len(excluded) > 0 {
+		return 0
+	}
+	var others []even.Candidate
+	for _, r := range t.replicasFor(now, n, []string{chosen}) {
+		if report, _, known := r.estimate.Latest(now); known && report.Demand() < float64(r.slots) {
+			others = append(others, even.NewCandidate(&r.estimate, r.slots, 0))
+		}
+	}
+	if !even.Spread(now, others) {
+		return 0
+	}
+	least := slices.MinFunc(others, func(a, b even.Candidate) int { return cmp.Compare(a.Load(), b.Load()) })
+	return int(math.Ceil(float64(s.slots) * max(minSendBackLoad, least.Load()+sendBackMargin)))
+}
+
 // maxCredit bounds what a server may be owed, so that it gets no burst of reads after a time in which it could not have any.
 const maxCredit = 1
 
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -167,10 +167,10 @@
 		return target{}, result.New(result.NoServer, "server group %s is not known to this VM", r.Group())
 	}
 	t := target{group: g}
-	id := ""
+	id, sendBackAt := "", 0
 	var maxAge time.Duration
 	if !writes {
-		id, t.required, maxAge = ss.chooseReadServer(g, r, began, tried)
+		id, t.required, maxAge, sendBackAt = ss.chooseReadServer(g, r, began, tried)
 	}
 	use, usable := ss.entry.deps.Elector.AcquirePrimary(r.Group())
 	if id == "" || (usable && id == use.Server()) {
@@ -180,7 +180,7 @@
 		if id == "" {
 			g.Started(use.Server())
 		}
-		t.primaryUse, t.onPrimary, t.required, maxAge, id = use, true, point.Point{}, 0, use.Server()
+		t.primaryUse, t.onPrimary, t.required, maxAge, id, sendBackAt = use, true, point.Point{}, 0, use.Server(), 0
 	} else if usable {
 		use.Release()
 	}
@@ -190,6 +190,7 @@
 	t.conn, err = g.Acquire(id, pool.AcquireRequest{
 		Timeout: ss.attemptTimeout(deadline, t.onPrimary), AnswerWithin: usefulTimeLeft(r, deadline.Sub(requestedAt)),
 		Priority: r.Priority(), SessionValues: ss.values, MaxAge: maxAge, ReadOnly: !writes && ss.state != query.Open,
+		SendBackAt: sendBackAt,
 	})
 	if err == nil && maxAge > 0 {
 		err = t.requirePosition(began, maxAge)
@@ -258,23 +259,24 @@
 }
 
 // chooseReadServer chooses a server for a read. It returns the server's id and the log position that it must have applied, or ""
-// if only the primary can run the read. If maxAge is not 0, the server must besides have a position that is to be found out.
+// if only the primary can run the read. If maxAge is not 0, the server must besides have a position that is to be found out. For
+// sendBackAt, see pool.AcquireRequest.
 func (ss *session) chooseReadServer(g *pool.Group, r layout.Route, began time.Time, tried []string,
-) (id string, required point.Point, maxAge time.Duration) {
+) (id string, required point.Point, maxAge time.Duration, sendBackAt int) {
 	if r.Kind() == layout.Primary {
-		return "", point.Point{}, 0
+		return "", point.Point{}, 0, 0
 	}
 	if !ss.required.IsZero() && ss.leaderVersion != ss.entry.deps.Elector.PrimaryVersion(r.Group()) {
 		// The position of the session's last commit lies in the log of an earlier primary. A read on the new primary returns a
 		// position in its log.
-		return "", point.Point{}, 0
+		return "", point.Point{}, 0, 0
 	}
 	if g.Shared() {
 		maxAge, required = r.MaxAge(), ss.required
 	} else {
 		known := false
 		if required, known = g.Required(began, r.MaxAge()); !known {
-			return "", point.Point{}, 0
+			return "", point.Point{}, 0, 0
 		}
 		required = required.Max(ss.required)
 	}
@@ -284,9 +286,9 @@
 	}
 	id, ok := g.Choose(need, tried)
 	if !ok {
-		return "", point.Point{}, 0
+		return "", point.Point{}, 0, 0
 	}
-	return id, required, maxAge
+	return id, required, maxAge, g.SendBackAt(need, id, tried)
 }
 
 // runOnce runs a statement outside a transaction on one server. Retry reports whether the statement has had no effect and may be
--- a/io/pool/load.go
+++ b/io/pool/load.go
@@ -1,6 +1,12 @@
 package pool
 
-import "verbenagate/core/even"
+import (
+	"time"
+
+	"verbenagate/core/admit"
+	"verbenagate/core/even"
+	"verbenagate/core/route"
+)
 
 // recordOrigin records from which place a statement or a transaction comes that uses the server through this VM.
 func (p *Pool) recordOrigin(place even.Place) {
@@ -16,6 +22,15 @@
 	return p.meter.Report(p.clock(), p.running+p.slotWaiters.Len()+p.connWaiters.Len(), place)
 }
 
+// Ahead returns how many statements run on the server through this VM, or wait ahead of a new one.
+func (p *Pool) Ahead(priority int, answerWithin time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, service := p.clock(), p.gate.ServiceTime()
+	rank := admit.NewRank(priority, now.Add(answerWithin))
+	return p.running + p.slotWaiters.Ahead(rank, now, service) + p.connWaiters.Ahead(rank, now, service)
+}
+
 // owns reports whether all statements for a server go through this VM, as long as VMs reach it. The caller holds mu.
 func (g *Group) owns(server string) bool {
 	list := g.owners[server]
@@ -55,6 +70,17 @@
 	g.table.RecordLoad(g.clock(), server, r, 1)
 }
 
+// SendBackAt returns from how many statements ahead on the owner of the chosen server should send a statement with this need back,
+// 0 for never; see route.Table.SendBackAt. It is 0 on the owner itself, whose choice was made with the present load.
+func (g *Group) SendBackAt(need route.Need, chosen string, excluded []string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.owners[chosen]) == 0 || g.owns(chosen) {
+		return 0
+	}
+	return g.table.SendBackAt(g.clock(), need, chosen, append(g.unreachableServers(), excluded...))
+}
+
 // recordOwnLoads records the present loads of the servers that this VM owns. The caller holds mu.
 func (g *Group) recordOwnLoads() {
 	now, place := g.clock(), g.table.Place()
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -216,6 +216,9 @@
 	MaxAge time.Duration
 	// ReadOnly says that the statement may be run again.
 	ReadOnly bool
+	// SendBackAt is from how many statements ahead on the server's owner refuses the statement, as not run, since another server
+	// can run it sooner; 0 for never.
+	SendBackAt int
 }
 
 // Acquire returns a connection: an idle one, preferably with the session values in request, or a new one if the pool's limit
--- a/io/remote/caller.go
+++ b/io/remote/caller.go
@@ -164,7 +164,7 @@
 	q.Group, q.Server, q.Session, q.Priority = s.group.Name(), s.server, s.id, priority
 	q.Timeout, q.AnswerWithin = timeout, answerWithin
 	if s.id == 0 || q.Kind == kindBegin {
-		q.MaxAge, q.Place = s.request.MaxAge, s.group.Place()
+		q.MaxAge, q.Place, q.SendBackAt = s.request.MaxAge, s.group.Place(), s.request.SendBackAt
 	}
 	if s.id == 0 || s.sentValues == nil || !maps.Equal(s.values, s.sentValues) {
 		q.Values, s.sentValues = s.values, maps.Clone(s.values)
--- a/io/remote/message.go
+++ b/io/remote/message.go
@@ -33,6 +33,8 @@
 	Priority     int           `cbor:"16,keyasint,omitempty"`
 	// Place is that of the calling VM; see even.PlaceOf.
 	Place even.Place `cbor:"18,keyasint,omitempty"`
+	// SendBackAt is that of pool.AcquireRequest.
+	SendBackAt int `cbor:"19,keyasint,omitempty"`
 }
 
 // kind is the kind of a request.
@@ -84,6 +86,8 @@
 	// Load is the load of the server, nil if the replying VM does not know it. It travels with the answers, so that knowing it
 	// takes no calls.
 	Load *load `cbor:"11,keyasint,omitempty"`
+
+	sentBack bool // the calling VM asked for the refusal
 }
 
 // load is an even.Report in a form that takes few bytes.
--- a/io/remote/owner.go
+++ b/io/remote/owner.go
@@ -86,7 +86,7 @@
 		defer o.end()
 		reply := o.run(ctx, from, q)
 		reply.Load = o.load(q)
-		if reply.Error != 0 {
+		if reply.Error != 0 && !reply.sentBack {
 			o.log.Event(event.ForwardFailed, zap.String("id", q.ID), zap.String("server", q.Server),
 				zap.String("result", result.Lookup(reply.Error).Name()), zap.String("message", reply.Message),
 				zap.Bool("sent", reply.Sent), zap.Duration("age", c.Age()))
@@ -175,6 +175,17 @@
 	if q.Session != 0 && q.Kind != kindBegin {
 		return o.runInTransaction(g, from, q, deadline)
 	}
+	p, ok := g.Pool(q.Server)
+	if !ok {
+		return errorReply(result.New(result.NoServer, "server %s is not registered at this VM", q.Server), false, false)
+	}
+	if q.SendBackAt > 0 {
+		if ahead := p.Ahead(q.Priority, q.AnswerWithin); ahead >= q.SendBackAt {
+			reply := errorReply(result.New(result.Overloaded, "%d statements are ahead at server %s", ahead, q.Server), false, false)
+			reply.sentBack = true
+			return reply
+		}
+	}
 	after := q.after()
 	if q.MaxAge > 0 {
 		required, err := o.positions.required(ctx, g, q.MaxAge, deadline)
@@ -183,10 +194,6 @@
 		}
 		after = after.Max(required)
 	}
-	p, ok := g.Pool(q.Server)
-	if !ok {
-		return errorReply(result.New(result.NoServer, "server %s is not registered at this VM", q.Server), false, false)
-	}
 	requestedAt := o.clock()
 	c, err := p.Acquire(pool.AcquireRequest{
 		Timeout: deadline.Sub(requestedAt), AnswerWithin: q.AnswerWithin, Priority: q.Priority, SessionValues: q.Values,
