--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -91,9 +91,9 @@
 	}
 	deadline := now.Add(r.Timeout() - answerReserve)
 	a := errorAnswer(result.NoServer, "no server can take the statement")
-	var tried []string
-	for n := 1; n <= maxAttempts; n++ {
-		t, err := ss.acquireTarget(r, st.writes, now, deadline, tried)
+	var tried triedServers
+	for n, limit := 1, maxAttempts; n <= limit; n++ {
+		t, err := ss.acquireTarget(r, st.writes, now, deadline, tried.all())
 		if err != nil {
 			if a.tries == 0 {
 				a = answerFromError(err)
@@ -111,15 +111,35 @@
 		switch {
 		case t.onPrimary:
 			ss.waitForPrimaryChange(deadline)
+		case a.sentBack:
+			tried.sentBack, limit = a.server, limit+1
 		case a.code == result.AgeNotMet:
-			tried = t.group.Replicas() // No position is known, so only the primary can run the read.
+			tried.failed = t.group.Replicas() // No position is known, so only the primary can run the read.
 		default:
-			tried = append(tried, a.server)
+			tried.add(a.server)
 		}
 	}
 	return a
 }
 
+// triedServers are the servers that the next attempt must not choose.
+type triedServers struct {
+	failed   []string
+	sentBack string // the server whose owner has sent the statement back, until another server has been tried
+}
+
+// all returns the servers that the next attempt must not choose.
+func (t *triedServers) all() []string {
+	if t.sentBack == "" {
+		return t.failed
+	}
+	return append(slices.Clone(t.failed), t.sentBack)
+}
+
+// add adds a server that cannot run the statement now. One whose owner has sent it back may be chosen again, since waiting there is
+// better than a refusal.
+func (t *triedServers) add(server string) { t.failed, t.sentBack = append(t.failed, server), "" }
+
 // waitForPrimaryChange waits until the primary or the lease changes, for at most retryDelay and not beyond deadline.
 func (ss *session) waitForPrimaryChange(deadline time.Time) {
 	t := time.NewTimer(min(retryDelay, max(deadline.Sub(ss.entry.deps.Clock()), 0)))
@@ -308,7 +328,7 @@
 	requestFailed := err != nil
 	t.group.Finished(t.conn.Server(), t.conn.Broken())
 	if requestFailed && !sent && !t.conn.Broken() {
-		a.code, a.message = result.CodeOf(err), result.Message(err)
+		a.code, a.message, a.sentBack = result.CodeOf(err), result.Message(err), result.HasCause(err, pool.ErrSentBack)
 		return a, (!t.onPrimary || ownerChanged(a.code)) && now.Before(deadline)
 	}
 	if t.onPrimary && (sent || t.conn.Broken()) && !ownerLost(err) {
@@ -452,10 +472,10 @@
 		return nil
 	}
 	err := result.New(result.NoServer, "no server can take the transaction")
-	var tried []string
-	for n := 1; n <= maxAttempts && ss.entry.deps.Clock().Before(deadline); n++ {
+	var tried triedServers
+	for n, limit := 1, maxAttempts; n <= limit && ss.entry.deps.Clock().Before(deadline); n++ {
 		r := ss.tx.route
-		t, e := ss.acquireTarget(r, !ss.tx.readOnly, ss.tx.began, deadline, tried)
+		t, e := ss.acquireTarget(r, !ss.tx.readOnly, ss.tx.began, deadline, tried.all())
 		if e != nil {
 			return e
 		}
@@ -465,10 +485,13 @@
 			return nil
 		}
 		code := result.CodeOf(err)
-		if code == result.AgeNotMet {
-			tried = t.group.Replicas()
-		} else {
-			tried = append(tried, t.conn.Server())
+		switch {
+		case result.HasCause(err, pool.ErrSentBack):
+			tried.sentBack, limit = t.conn.Server(), limit+1
+		case code == result.AgeNotMet:
+			tried.failed = t.group.Replicas()
+		default:
+			tried.add(t.conn.Server())
 		}
 		t.group.Finished(t.conn.Server(), t.conn.Broken())
 		t.release()
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -144,6 +144,7 @@
 	owner         string // VM through which the server was used, if any
 	leaderVersion uint64 // version of the record that named the primary used by the statement
 	tries         int
+	sentBack      bool // the server's owner refused the statement because another server can run it sooner
 }
 
 func okAnswer() answer { return answer{code: result.OK} }
--- a/io/pool/load.go
+++ b/io/pool/load.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"errors"
 	"time"
 
 	"verbenagate/core/admit"
@@ -8,6 +9,9 @@
 	"verbenagate/core/route"
 )
 
+// ErrSentBack is the cause of the refusal of a statement whose AcquireRequest.SendBackAt was reached.
+var ErrSentBack = errors.New("another server can run the statement sooner")
+
 // recordOrigin records from which place a statement or a transaction comes that uses the server through this VM.
 func (p *Pool) recordOrigin(place even.Place) {
 	p.mu.Lock()
--- a/io/remote/caller.go
+++ b/io/remote/caller.go
@@ -193,6 +193,9 @@
 		if r.Error == result.ShuttingDown {
 			s.caller.pause(s.owner, stoppingOwnerPause, result.New(r.Error, "%s", r.Message))
 		}
+		if r.SentBack {
+			return exec.Result{}, false, result.Wrap(r.Error, pool.ErrSentBack, "%s", r.Message)
+		}
 		s.broken = s.broken || r.ServerFailed
 		return exec.Result{}, r.Sent, result.New(r.Error, "%s", r.Message)
 	}
--- a/io/remote/message.go
+++ b/io/remote/message.go
@@ -86,8 +86,8 @@
 	// Load is the load of the server, nil if the replying VM does not know it. It travels with the answers, so that knowing it
 	// takes no calls.
 	Load *load `cbor:"11,keyasint,omitempty"`
-
-	sentBack bool // the calling VM asked for the refusal
+	// SentBack says that the request was refused because of its SendBackAt.
+	SentBack bool `cbor:"12,keyasint,omitempty"`
 }
 
 // load is an even.Report in a form that takes few bytes.
--- a/io/remote/owner.go
+++ b/io/remote/owner.go
@@ -86,7 +86,7 @@
 		defer o.end()
 		reply := o.run(ctx, from, q)
 		reply.Load = o.load(q)
-		if reply.Error != 0 && !reply.sentBack {
+		if reply.Error != 0 && !reply.SentBack {
 			o.log.Event(event.ForwardFailed, zap.String("id", q.ID), zap.String("server", q.Server),
 				zap.String("result", result.Lookup(reply.Error).Name()), zap.String("message", reply.Message),
 				zap.Bool("sent", reply.Sent), zap.Duration("age", c.Age()))
@@ -182,7 +182,7 @@
 	if q.SendBackAt > 0 {
 		if ahead := p.Ahead(q.Priority, q.AnswerWithin); ahead >= q.SendBackAt {
 			reply := errorReply(result.New(result.Overloaded, "%d statements are ahead at server %s", ahead, q.Server), false, false)
-			reply.sentBack = true
+			reply.SentBack = true
 			return reply
 		}
 	}
