--- a/core/route/route.go
+++ b/core/route/route.go
@@ -390,7 +390,7 @@
 		return 0
 	}
 	least := slices.MinFunc(others, func(a, b even.Candidate) int { return cmp.Compare(a.Load(), b.Load()) })
-	return int(math.Ceil(float64(s.slots) * max(minSendBackLoad, least.Load()+sendBackMargin)))
+	return int(math.Round(float64(s.slots) * max(minSendBackLoad, least.Load()+sendBackMargin)))
 }
 
 // maxCredit bounds what a server may be owed, so that it gets no burst of reads after a time in which it could not have any.
