--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -287,6 +287,33 @@
 	}
 }
 
+// Guards against the owner of a server that sends its own reads there although it sees that they would wait.
+func TestOwnerChoosesByItsQueue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	group := newSpreadGroup("vm", "dc1")
+	owners := map[string][]lead.Member{"s1": {lead.NewMember("vm", 1, 0, nil)}, "s2": {lead.NewMember("other", 1, 0, nil)}}
+	group.update(group.Members(), fixedLimits(9, 9), owners)
+	choose := func() string {
+		id, _ := group.Choose(route.NewAtLeast(point.New(1, 10)), nil)
+		group.Finished(id, false)
+		return id
+	}
+	p, _ := group.Pool("s1")
+	p.meter.RecordService(10 * time.Millisecond)
+	g.Expect(choose()).To(gomega.Equal("s1"))
+	for range 9 {
+		g.Expect(p.acquireSlot(timeout, admit.NewRank(1, time.Now().Add(timeout)))).To(gomega.BeTrue())
+	}
+	g.Expect(p.Ahead(1, timeout)).To(gomega.Equal(9))
+	g.Expect(choose()).To(gomega.Equal("s2"))
+	g.Expect(group.Load("s1", 0).Load()).To(gomega.Equal(9))
+	g.Expect(group.Load("s2", 0).Known()).To(gomega.BeFalse(), "another VM owns the server")
+	for range 9 {
+		p.releaseSlot(10 * time.Millisecond)
+	}
+	g.Expect(choose()).To(gomega.Equal("s1"))
+}
+
 // cutPaths holds the data centres that cannot be reached.
 type cutPaths map[string]bool
 
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"verbenagate/core/even"
 	"verbenagate/core/event"
 	"verbenagate/core/exec"
 	"verbenagate/core/lead"
@@ -340,3 +342,90 @@
 	g.Expect(r.Code()).To(gomega.Equal(result.OK))
 	g.Expect(r.Rows()).To(gomega.Equal([]string{"one"}))
 }
+
+// Guards against loads of servers that are found out by calls of their own, and against a VM that does not learn them from the
+// answers to its statements.
+func TestLoadsTravelWithAnswers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	servers, _, v := newPair(t)
+	const statements = 20
+	for n := range statements {
+		s := v.acquire(t, "ledger-1")
+		_, _, err := run(s, fmt.Sprint("r", n), "READ x")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		s.Release()
+	}
+	g.Expect(v.paths.answers.Load()).To(gomega.BeEquivalentTo(statements), "calls to the owner")
+	for _, s := range servers.servers.Servers() {
+		g.Expect(s.StatusCount()).To(gomega.BeZero(), s.ID())
+	}
+	known := map[string]bool{}
+	for _, s := range v.pools.State()[0].Shares {
+		known[s.Server] = s.Reported
+		if s.Reported {
+			g.Expect(s.Near).To(gomega.Equal(1.0))
+			g.Expect(s.ServiceMS).To(gomega.BeNumerically(">", 0))
+		}
+	}
+	g.Expect(known).To(gomega.Equal(map[string]bool{"ledger-0": false, "ledger-1": true}))
+}
+
+// Guards against the load of a server as seen by a VM that is not its owner: it knows only a part of the statements.
+func TestOnlyTheOwnerReportsLoads(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, owner, v := newPair(t)
+	owner.pools.SetMembers([]lead.Member{v.member()}, manyVMs)
+	s := v.acquire(t, "ledger-1")
+	_, _, err := run(s, "r1", "READ x")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.Release()
+	for _, s := range v.pools.State()[0].Shares {
+		g.Expect(s.Reported).To(gomega.BeFalse(), s.Server)
+	}
+}
+
+// Guards against a read that waits in a long queue while another replica has room, and against one that is sent back although it
+// may have run.
+func TestOwnerSendsReadsBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	servers, owner, v := newPair(t)
+	servers.servers.Server(1).DropReplies("READ", true)
+	first := v.acquire(t, "ledger-1")
+	go func() { _, _, _ = first.Run(testTimeout, 1, exec.NewRun("r1", "READ x", point.Point{})) }()
+	p, _ := owner.group(t).Pool("ledger-1")
+	g.Eventually(func() int { return p.State().Running }, testTimeout).Should(gomega.Equal(1))
+	servers.servers.Server(1).DropReplies("READ", false)
+	read := func(sendBackAt int) (bool, error) {
+		s, err := v.group(t).Acquire("ledger-1", pool.AcquireRequest{
+			Timeout: testTimeout, AnswerWithin: testTimeout, Priority: 1, ReadOnly: true, SendBackAt: sendBackAt,
+		})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer s.Release()
+		_, sent, err := run(s, fmt.Sprint("back at ", sendBackAt), "READ x")
+		return sent, err
+	}
+	sent, err := read(1)
+	g.Expect(result.CodeOf(err)).To(gomega.Equal(result.Overloaded))
+	g.Expect(result.HasCause(err, pool.ErrSentBack)).To(gomega.BeTrue())
+	g.Expect(sent).To(gomega.BeFalse())
+	for _, at := range []int{0, 2} {
+		_, err = read(at)
+		g.Expect(err).NotTo(gomega.HaveOccurred(), "send back at %d", at)
+	}
+	for _, r := range servers.servers.Runs() {
+		g.Expect(r.ID).NotTo(gomega.Equal("back at 1"))
+	}
+	servers.servers.Server(1).Stop() // ends the first read
+}
+
+// Guards against a report that a later version or a faulty VM sends with values that no server can have.
+func TestLoadOfAnyValues(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := (&load{Statements: math.MaxUint, DemandPercent: math.MaxUint, NearPercent: math.MaxUint, ServiceMicros: math.MaxUint}).report()
+	g.Expect(r.Load()).To(gomega.BeNumerically(">", 0))
+	g.Expect(r.Near()).To(gomega.Equal(1.0))
+	g.Expect(r.Service()).To(gomega.BeNumerically(">", 0))
+	g.Expect(newLoad(even.NewReport(3, 1.5, 0.25, time.Nanosecond)).report()).To(gomega.Equal(
+		even.NewReport(3, 1.5, 0.25, time.Microsecond)))
+	g.Expect(newLoad(even.Report{}).report().Known()).To(gomega.BeFalse())
+}
--- a/lab/lines/lines.go
+++ b/lab/lines/lines.go
@@ -54,6 +54,7 @@
 	reportedLag    time.Duration   // replication lag that the status reports while the server follows
 	conns          map[net.Conn]struct{}
 	stopped        bool
+	statusCount    int // requests for the status
 }
 
 // NewGroup starts a group with n servers; the first one is the leader.
@@ -185,6 +186,13 @@
 	s.reportedLag = d
 }
 
+// StatusCount returns how often the status was requested.
+func (s *Server) StatusCount() int {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return s.statusCount
+}
+
 // Data returns the values written to an item in the server's log, oldest first.
 func (s *Server) Data(item string) []string {
 	s.group.mu.Lock()
@@ -407,6 +415,7 @@
 		s.isLeader = false
 		return ss.status()
 	case "STATUS":
+		ss.s.statusCount++
 		return ss.status()
 	}
 	return ss.refuse("MALFORMED")
