--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -17,6 +17,7 @@
 	StatementDone      ID = 203
 	RouteRetry         ID = 300
 	RouteNoBarrier     ID = 301
+	RouteShares        ID = 302
 	EndptDown          ID = 400
 	EndptUp            ID = 401
 	EndptPoisoned      ID = 402
@@ -84,6 +85,7 @@
 	{StatementDone, LayerCaller, "statement ended", "Look up the result code; the fields say which server ran it and for how long."},
 	{RouteRetry, LayerRoute, "unit of work retried", "None, unless the rate is high; then check the servers that it names."},
 	{RouteNoBarrier, LayerRoute, "barrier for a session not confirmed", "Check which servers of the group can be reached from this data centre."},
+	{RouteShares, LayerRoute, "shares of the servers in reads", "None; the fields show the load that this VM knows of each server, how old that is, and how many units it has sent there."},
 	{EndptDown, LayerEndpoint, "server unreachable", "Check the server and the network between it and this VM."},
 	{EndptUp, LayerEndpoint, "server reachable", "None."},
 	{EndptPoisoned, LayerEndpoint, "server connection in unknown state closed", "None, unless the rate is high."},
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -6,7 +6,10 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"verbenagate/core/admit"
+	"verbenagate/core/event"
 	"verbenagate/core/exec"
 	"verbenagate/core/fresh"
 	"verbenagate/core/layout"
@@ -51,6 +54,7 @@
 	forwarder     Forwarder
 	paths         Paths
 	departures    map[string]departure // by id of a server that is not registered any more
+	shareLog      *shareLog            // of all groups of the VM; nil for no lines
 }
 
 // Paths tells which data centres this VM cannot reach.
@@ -153,11 +157,19 @@
 // Choose returns the server for a statement with this need, other than those in excluded, and counts the statement as running
 // there. Servers in data centres that cannot be reached are chosen last. It returns false if there is none.
 func (g *Group) Choose(need route.Need, excluded []string) (string, bool) {
+	id, ok, shares := g.choose(need, excluded)
+	if len(shares) > 0 {
+		g.log.Event(event.RouteShares, zap.String("group", g.name), zap.String("server", id), zap.Any("shares", shares))
+	}
+	return id, ok
+}
+
+// choose does what Choose does. Now and then it also returns what the choice was made by, for the log.
+func (g *Group) choose(need route.Need, excluded []string) (id string, ok bool, shares []route.Share) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.recordOwnLoads()
 	now := g.clock()
-	id, ok := "", false
 	unreachable := g.unreachableServers()
 	if len(unreachable) > 0 {
 		id, ok = g.table.Choose(now, need, append(unreachable, excluded...))
@@ -166,9 +178,12 @@
 		id, ok = g.table.Choose(now, need, excluded)
 	}
 	if ok {
+		if g.shareLog.allows(now) {
+			shares = g.table.Shares(now)
+		}
 		g.table.Started(now, id)
 	}
-	return id, ok
+	return id, ok, shares
 }
 
 // unreachableServers returns the ids of the servers in data centres that this VM cannot reach. The caller holds mu.
@@ -300,6 +315,7 @@
 	forwarder Forwarder
 	paths     Paths
 	view      *watch.View
+	shareLog  shareLog
 }
 
 // NewSet returns an empty Set for a VM in localDataCentre. The parameter vmCount is the number of VMs that share the servers, until
@@ -348,7 +364,8 @@
 			g = &Group{
 				name: name, vm: s.vm, localDataCentre: s.localDataCentre, clock: s.clock, dialer: s.dialer, log: s.log,
 				pools: make(map[string]*Pool), forwarder: s.forwarder, paths: s.paths,
-				table: route.NewTable(s.localDataCentre, nil, route.NewCosts(remotePenalty, primaryPenalty)),
+				shareLog: &s.shareLog,
+				table:    route.NewTable(s.localDataCentre, nil, route.NewCosts(remotePenalty, primaryPenalty)),
 			}
 			s.groups[name] = g
 		}
--- a/io/pool/load.go
+++ b/io/pool/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"verbenagate/core/admit"
@@ -12,6 +13,22 @@
 // ErrSentBack is the cause of the refusal of a statement whose AcquireRequest.SendBackAt was reached.
 var ErrSentBack = errors.New("another server can run the statement sooner")
 
+// shareLogInterval is the least time between two log lines with the shares of a group. It bounds the lines of a VM, however many
+// groups it has.
+const shareLogInterval = 5 * time.Second
+
+// shareLog limits the rate of the log lines with shares.
+type shareLog struct{ last atomic.Int64 } // Unix time of the last line, in nanoseconds
+
+// allows reports whether a line may be logged now, and takes it as logged.
+func (l *shareLog) allows(now time.Time) bool {
+	if l == nil {
+		return false
+	}
+	last := l.last.Load()
+	return now.UnixNano()-last >= int64(shareLogInterval) && l.last.CompareAndSwap(last, now.UnixNano())
+}
+
 // recordOrigin records from which place a statement or a transaction comes that uses the server through this VM.
 func (p *Pool) recordOrigin(place even.Place) {
 	p.mu.Lock()
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -314,6 +314,29 @@
 	g.Expect(choose()).To(gomega.Equal("s1"))
 }
 
+// eventCounter counts the lines with shares.
+type eventCounter struct{ shares int }
+
+func (c *eventCounter) Event(id event.ID, _ ...zap.Field) {
+	if id == event.RouteShares {
+		c.shares++
+	}
+}
+
+// Guards against log lines with the shares that grow with the load, and against none at all.
+func TestSharesAreLoggedAtABoundedRate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	lines := &eventCounter{}
+	group := newSpreadGroup("vm", "dc1")
+	group.clock, group.log, group.shareLog = func() time.Time { return now }, lines, &shareLog{}
+	for range 100 {
+		group.Choose(route.NewAtLeast(point.New(1, 10)), nil)
+		now = now.Add(shareLogInterval / 20)
+	}
+	g.Expect(lines.shares).To(gomega.Equal(5))
+}
+
 // cutPaths holds the data centres that cannot be reached.
 type cutPaths map[string]bool
 
