--- a/core/route/route.go
+++ b/core/route/route.go
@@ -374,14 +374,14 @@
 
 // SendBackAt returns from how much load on, in units that run or wait ahead, the owner of the chosen server should send a unit with
 // need n back, so that it goes to another replica. Only the owner knows the load exactly, and the choice may prove wrong. It
-// returns 0 if the unit must not be sent back: it has been at one of excluded, or no other replica is known to have room for it.
+// returns 0 if the unit must not be sent back, since no other replica, beside those in excluded, is known to have room for it.
 func (t *Table) SendBackAt(now time.Time, n Need, chosen string, excluded []string) int {
 	s := t.serverByAddress(chosen)
-	if s == nil || chosen == t.primary || len(excluded) > 0 {
+	if s == nil || chosen == t.primary {
 		return 0
 	}
 	var others []even.Candidate
-	for _, r := range t.replicasFor(now, n, []string{chosen}) {
+	for _, r := range t.replicasFor(now, n, append([]string{chosen}, excluded...)) {
 		if report, _, known := r.estimate.Latest(now); known && report.Demand() < float64(r.slots) {
 			others = append(others, even.NewCandidate(&r.estimate, r.slots, 0))
 		}
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -54,7 +54,7 @@
 	forwarder     Forwarder
 	paths         Paths
 	departures    map[string]departure // by id of a server that is not registered any more
-	shareLog      *shareLog            // of all groups of the VM; nil for no lines
+	shareLog      *shareLog            // of all groups of the VM
 }
 
 // Paths tells which data centres this VM cannot reach.
@@ -164,7 +164,8 @@
 	return id, ok
 }
 
-// choose does what Choose does. Now and then it also returns what the choice was made by, for the log.
+// choose does what Choose does. Now and then it also returns what the choice was made by, for the log, if servers have owners, which
+// report loads.
 func (g *Group) choose(need route.Need, excluded []string) (id string, ok bool, shares []route.Share) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -178,7 +179,7 @@
 		id, ok = g.table.Choose(now, need, excluded)
 	}
 	if ok {
-		if g.shareLog.allows(now) {
+		if len(g.owners) > 0 && g.shareLog.allows(now) {
 			shares = g.table.Shares(now)
 		}
 		g.table.Started(now, id)
--- a/io/pool/load.go
+++ b/io/pool/load.go
@@ -22,9 +22,6 @@
 
 // allows reports whether a line may be logged now, and takes it as logged.
 func (l *shareLog) allows(now time.Time) bool {
-	if l == nil {
-		return false
-	}
 	last := l.last.Load()
 	return now.UnixNano()-last >= int64(shareLogInterval) && l.last.CompareAndSwap(last, now.UnixNano())
 }
@@ -92,14 +89,15 @@
 }
 
 // SendBackAt returns from how many statements ahead on the owner of the chosen server should send a statement with this need back,
-// 0 for never; see route.Table.SendBackAt. It is 0 on the owner itself, whose choice was made with the present load.
-func (g *Group) SendBackAt(need route.Need, chosen string, excluded []string) int {
+// 0 for never; see route.Table.SendBackAt. It is 0 on the owner itself, whose choice was made with the present load, and for a
+// statement that has been tried on another server.
+func (g *Group) SendBackAt(need route.Need, chosen string, tried []string) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.owners[chosen]) == 0 || g.owns(chosen) {
+	if len(g.owners[chosen]) == 0 || g.owns(chosen) || len(tried) > 0 {
 		return 0
 	}
-	return g.table.SendBackAt(g.clock(), need, chosen, append(g.unreachableServers(), excluded...))
+	return g.table.SendBackAt(g.clock(), need, chosen, g.unreachableServers())
 }
 
 // recordOwnLoads records the present loads of the servers that this VM owns. The caller holds mu.
