--- a/core/even/even.go
+++ b/core/even/even.go
@@ -18,9 +18,16 @@
 	// averagingTime is the time constant of averages. It covers hundreds of statements of a busy server, and follows a change of
 	// demand within seconds.
 	averagingTime = time.Second
-	// newestServiceWeight is the share of the newest statement in the mean service time. The mean varies by a tenth of the
-	// deviation of single statements, and follows a server that has become slow within some 50 statements.
-	newestServiceWeight = 0.02
+	// newestWeight is the least share of the newest statement in the mean service time and in the share of failures. The mean
+	// varies by a tenth of the deviation of single statements, and follows a server that has become slow within some 50 statements.
+	newestWeight = 0.02
+	// forgettingTime is after how long both follow a server that gets few statements, so that one that has healed gets its share
+	// back.
+	forgettingTime = 2 * time.Second
+	// failureCost is how many statements of the server's time a failure counts as. A failed read costs its caller another try, and
+	// mostly the time until the failure shows. A server that fails each time still gets one read for about 50 of its neighbour, so
+	// that it is seen when it has healed.
+	failureCost = 50
 	// maxReportAge is how old a report may be. What it says of the demand and of the speed of a server lasts much longer than the
 	// load at the moment of the report.
 	maxReportAge = 10 * time.Second
@@ -52,6 +59,7 @@
 	demand  float64
 	near    float64
 	service time.Duration
+	failed  float64
 }
 
 // NewReport returns a report. Load is the number of statements that run or wait. Demand is how many slots the statements of the
@@ -61,6 +69,18 @@
 	return Report{load: max(load, 0), demand: max(demand, 0), near: min(max(near, 0), 1), service: service}
 }
 
+// WithFailures returns the report of a server that fails a share of its statements, in [0,1].
+func (r Report) WithFailures(share float64) Report {
+	r.failed = min(max(share, 0), 1)
+	return r
+}
+
+// Failed returns the share of the statements that fail.
+func (r Report) Failed() float64 { return r.failed }
+
+// cost returns the time that a statement counts as at the server, with the failures.
+func (r Report) cost() float64 { return r.service.Seconds() * (1 + failureCost*r.failed) }
+
 // Load returns the number of statements that run or wait.
 func (r Report) Load() int { return r.load }
 
@@ -86,7 +106,9 @@
 
 // Meter measures the load of a server at its owner. The zero value is ready to use. A Meter is not safe for concurrent use.
 type Meter struct {
-	service    time.Duration
+	service    float64 // mean, in seconds
+	failed     float64
+	ended      time.Time         // the last statement
 	counted    time.Time         // until when the counts have been decayed
 	statements float64           // decayed
 	origins    map[Place]float64 // decayed numbers of statements and transactions
@@ -98,13 +120,33 @@
 	m.statements++
 }
 
-// RecordService records how long the server took for a statement.
-func (m *Meter) RecordService(d time.Duration) {
-	if m.service == 0 {
-		m.service = d
-		return
+// RecordSuccess records a statement for which the server took d.
+func (m *Meter) RecordSuccess(now time.Time, d time.Duration) {
+	w := m.weight(now)
+	m.service += w * (d.Seconds() - m.service)
+	m.failed -= w * m.failed
+}
+
+// RecordFailure records a statement that the server refused or failed. How fast it did so says nothing about its speed.
+func (m *Meter) RecordFailure(now time.Time) {
+	m.failed += m.weight(now) * (1 - m.failed)
+}
+
+// RecordSilence records a statement that got no answer within d.
+func (m *Meter) RecordSilence(now time.Time, d time.Duration) {
+	w := m.weight(now)
+	m.service += w * max(d.Seconds()-m.service, 0)
+	m.failed += w * (1 - m.failed)
+}
+
+// weight returns the weight of a statement that ends now.
+func (m *Meter) weight(now time.Time) float64 {
+	w := 1.0
+	if m.service > 0 {
+		w = max(newestWeight, 1-math.Exp(-now.Sub(m.ended).Seconds()/forgettingTime.Seconds()))
 	}
-	m.service += time.Duration(newestServiceWeight * float64(d-m.service))
+	m.ended = now
+	return w
 }
 
 // RecordOrigin records from which place a statement or a transaction comes.
@@ -145,7 +187,8 @@
 	if all > 0 {
 		near = m.origins[p] / all
 	}
-	return NewReport(load, m.statements/averagingTime.Seconds()*m.service.Seconds(), near, m.service)
+	service := time.Duration(m.service * float64(time.Second))
+	return NewReport(load, m.statements/averagingTime.Seconds()*m.service, near, service).WithFailures(m.failed)
 }
 
 // Estimate is what a VM knows of the load of one server: its own statements there, and the latest report. The zero value is ready
@@ -225,11 +268,13 @@
 func (c Candidate) Load() float64 { return c.level - c.penalty + c.spread*c.slope }
 
 // Spread determines the share of each candidate. It returns false if no candidate has a report, so that there is nothing to go by.
+//
+// Speed and failures count only in comparison with the other candidates. If all are slow or fail alike, none loses its share.
 func Spread(now time.Time, candidates []Candidate) bool {
-	fastest, known := time.Duration(math.MaxInt64), false
+	least, known := math.Inf(1), false
 	for _, c := range candidates {
 		if r, _, ok := c.estimate.Latest(now); ok {
-			fastest, known = min(fastest, r.service), true
+			least, known = min(least, r.cost()), true
 		}
 	}
 	if !known {
@@ -240,7 +285,7 @@
 		c := &candidates[i]
 		slowness := 1.0
 		if r, _, ok := c.estimate.Latest(now); ok {
-			slowness = float64(r.service) / float64(fastest)
+			slowness = r.cost() / least
 		}
 		fixed, movable := c.estimate.expected(now, c.slots)
 		if c.fixed {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -482,12 +482,13 @@
 	// Chosen is the number of units sent to the server since the table was made, InFlight that of those that have not ended.
 	Chosen   uint64 `json:"chosen"`
 	InFlight int    `json:"in_flight"`
-	// Load, Demand, Near and ServiceMS are those of the latest report, which is AgeMS old; see even.NewReport. Without a report
+	// Load, Demand, Near, ServiceMS and Failed are those of the latest report, which is AgeMS old; see even.NewReport. Without a report
 	// they are 0.
 	Load      int     `json:"load"`
 	Demand    float64 `json:"demand"`
 	Near      float64 `json:"near"`
 	ServiceMS float64 `json:"service_ms"`
+	Failed    float64 `json:"failed"`
 	AgeMS     float64 `json:"age_ms"`
 	// Reported says whether there is a report that is young enough to be used.
 	Reported bool `json:"reported"`
@@ -500,7 +501,7 @@
 		s := &t.servers[i]
 		d := Share{Server: s.address, Chosen: s.chosen, InFlight: s.inFlight}
 		if r, age, ok := s.estimate.Latest(now); ok {
-			d.Load, d.Demand, d.Near, d.Reported = r.Load(), r.Demand(), r.Near(), true
+			d.Load, d.Demand, d.Near, d.Failed, d.Reported = r.Load(), r.Demand(), r.Near(), r.Failed(), true
 			d.ServiceMS, d.AgeMS = float64(r.Service())/float64(time.Millisecond), float64(age)/float64(time.Millisecond)
 		}
 		all = append(all, d)
--- a/io/pool/load.go
+++ b/io/pool/load.go
@@ -7,6 +7,7 @@
 
 	"verbenagate/core/admit"
 	"verbenagate/core/even"
+	"verbenagate/core/result"
 	"verbenagate/core/route"
 )
 
@@ -33,6 +34,22 @@
 	p.meter.RecordOrigin(p.clock(), place)
 }
 
+// recordEnd records the end of a statement that took a slot for a time, with the server's answer or the error for which there is
+// none. Refusals for reasons that lie in the statement, or in the log that the server has applied, count neither way.
+func (p *Pool) recordEnd(took time.Duration, code result.Code, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock()
+	switch {
+	case err != nil:
+		p.meter.RecordSilence(now, took)
+	case code == result.OK:
+		p.meter.RecordSuccess(now, took)
+	case code == result.StatementFailed, code == result.Overloaded, code == result.AnswerLost, code == result.Internal:
+		p.meter.RecordFailure(now)
+	}
+}
+
 // load returns the load of the server as far as statements use it through this VM, for a VM at a place.
 func (p *Pool) load(place even.Place) even.Report {
 	p.mu.Lock()
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -99,7 +99,9 @@
 	}
 	slotAcquired := c.pool.clock()
 	defer func() { c.pool.releaseSlot(c.pool.clock().Sub(slotAcquired)) }()
-	return c.Do(timeout-slotAcquired.Sub(start), op)
+	r, sent, err := c.Do(timeout-slotAcquired.Sub(start), op)
+	c.pool.recordEnd(c.pool.clock().Sub(slotAcquired), r.Code(), err)
+	return r, sent, err
 }
 
 // SetSessionValues sets the session values of the connection to values. If the connection has a value that is not in values, it is
@@ -433,7 +435,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.gate.RecordServiceTime(serviceTime)
-	p.meter.RecordService(serviceTime)
 	p.running--
 	p.grantSlots()
 }
--- a/io/remote/message.go
+++ b/io/remote/message.go
@@ -97,6 +97,7 @@
 	DemandPercent uint
 	NearPercent   uint
 	ServiceMicros uint
+	FailedPercent uint
 }
 
 // newLoad returns the message for a report, nil if the report is not known.
@@ -106,7 +107,7 @@
 	}
 	return &load{
 		Statements: uint(r.Load()), DemandPercent: uint(math.Round(100 * r.Demand())), NearPercent: uint(math.Round(100 * r.Near())),
-		ServiceMicros: uint(max(r.Service().Microseconds(), 1)),
+		ServiceMicros: uint(max(r.Service().Microseconds(), 1)), FailedPercent: uint(math.Round(100 * r.Failed())),
 	}
 }
 
@@ -116,7 +117,7 @@
 		return even.Report{}
 	}
 	return even.NewReport(int(min(l.Statements, math.MaxInt32)), float64(l.DemandPercent)/100, float64(l.NearPercent)/100,
-		time.Duration(min(l.ServiceMicros, math.MaxInt32))*time.Microsecond)
+		time.Duration(min(l.ServiceMicros, math.MaxInt32))*time.Microsecond).WithFailures(float64(l.FailedPercent) / 100)
 }
 
 func errorReply(err error, sent, serverFailed bool) runReply {
