--- a/core/even/even.go
+++ b/core/even/even.go
@@ -21,13 +21,17 @@
 	// newestWeight is the least share of the newest statement in the mean service time and in the share of failures. The mean
 	// varies by a tenth of the deviation of single statements, and follows a server that has become slow within some 50 statements.
 	newestWeight = 0.02
-	// forgettingTime is after how long both follow a server that gets few statements, so that one that has healed gets its share
+	// serviceMemory and failureMemory are after how long they follow a server that gets few statements. A VM also goes by a reported
+	// share of failures no longer than that, and then tries the server again now and then, so that one that has healed gets its share
 	// back.
-	forgettingTime = 2 * time.Second
+	serviceMemory = 2 * time.Second
+	failureMemory = 2 * time.Second
 	// failureCost is how many statements of the server's time a failure counts as. A failed read costs its caller another try, and
-	// mostly the time until the failure shows. A server that fails each time still gets one read for about 50 of its neighbour, so
-	// that it is seen when it has healed.
-	failureCost = 50
+	// often a time limit. A server that fails each time gets one read for about 100 of its neighbour.
+	failureCost = 100
+	// failureTolerance is the share of failures that does not count. Lost answers and refusals at the limit of a queue occur at sound
+	// servers too, and differ by chance.
+	failureTolerance = 0.05
 	// maxReportAge is how old a report may be. What it says of the demand and of the speed of a server lasts much longer than the
 	// load at the moment of the report.
 	maxReportAge = 10 * time.Second
@@ -78,8 +82,11 @@
 // Failed returns the share of the statements that fail.
 func (r Report) Failed() float64 { return r.failed }
 
-// cost returns the time that a statement counts as at the server, with the failures.
-func (r Report) cost() float64 { return r.service.Seconds() * (1 + failureCost*r.failed) }
+// cost returns the time that a statement counts as at the server, with the failures, if the report is of this age.
+func (r Report) cost(age time.Duration) float64 {
+	failed := r.failed * math.Exp(-max(age, 0).Seconds()/failureMemory.Seconds())
+	return r.service.Seconds() * (1 + failureCost*max(failed-failureTolerance, 0))
+}
 
 // Load returns the number of statements that run or wait.
 func (r Report) Load() int { return r.load }
@@ -106,12 +113,12 @@
 
 // Meter measures the load of a server at its owner. The zero value is ready to use. A Meter is not safe for concurrent use.
 type Meter struct {
-	service    float64 // mean, in seconds
-	failed     float64
-	ended      time.Time         // the last statement
-	counted    time.Time         // until when the counts have been decayed
-	statements float64           // decayed
-	origins    map[Place]float64 // decayed numbers of statements and transactions
+	service                  float64 // mean, in seconds
+	failed                   float64
+	lastSuccess, lastOutcome time.Time
+	counted                  time.Time         // until when the counts have been decayed
+	statements               float64           // decayed
+	origins                  map[Place]float64 // decayed numbers of statements and transactions
 }
 
 // RecordStatement records a statement that is to run on the server.
@@ -122,31 +129,29 @@
 
 // RecordSuccess records a statement for which the server took d.
 func (m *Meter) RecordSuccess(now time.Time, d time.Duration) {
-	w := m.weight(now)
+	w := 1.0
+	if m.service > 0 {
+		w = weight(now.Sub(m.lastSuccess), serviceMemory)
+	}
+	m.lastSuccess = now
 	m.service += w * (d.Seconds() - m.service)
-	m.failed -= w * m.failed
+	m.recordOutcome(now, 0)
 }
 
-// RecordFailure records a statement that the server refused or failed. How fast it did so says nothing about its speed.
-func (m *Meter) RecordFailure(now time.Time) {
-	m.failed += m.weight(now) * (1 - m.failed)
-}
+// RecordFailure records a statement that the server refused, failed or left without an answer. How long that took says nothing about
+// its speed.
+func (m *Meter) RecordFailure(now time.Time) { m.recordOutcome(now, 1) }
 
-// RecordSilence records a statement that got no answer within d.
-func (m *Meter) RecordSilence(now time.Time, d time.Duration) {
-	w := m.weight(now)
-	m.service += w * max(d.Seconds()-m.service, 0)
-	m.failed += w * (1 - m.failed)
+func (m *Meter) recordOutcome(now time.Time, failed float64) {
+	if !m.lastOutcome.IsZero() {
+		m.failed += weight(now.Sub(m.lastOutcome), failureMemory) * (failed - m.failed)
+	}
+	m.lastOutcome = now
 }
 
-// weight returns the weight of a statement that ends now.
-func (m *Meter) weight(now time.Time) float64 {
-	w := 1.0
-	if m.service > 0 {
-		w = max(newestWeight, 1-math.Exp(-now.Sub(m.ended).Seconds()/forgettingTime.Seconds()))
-	}
-	m.ended = now
-	return w
+// weight returns the weight of the newest of the samples of a mean, of which the one before is dt old.
+func weight(dt, memory time.Duration) float64 {
+	return max(newestWeight, 1-math.Exp(-dt.Seconds()/memory.Seconds()))
 }
 
 // RecordOrigin records from which place a statement or a transaction comes.
@@ -263,6 +268,9 @@
 // Share returns the share of the statements that the candidate gets, as Spread has determined it.
 func (c Candidate) Share() float64 { return c.share }
 
+// LoadWithOneMore returns Load with one more statement.
+func (c Candidate) LoadWithOneMore() float64 { return c.Load() + c.slope }
+
 // Load returns the expected load per slot without the penalty, as Spread has determined it, with the work that it has spread. A
 // statement of a server at a fifth of the speed of the fastest candidate counts five times.
 func (c Candidate) Load() float64 { return c.level - c.penalty + c.spread*c.slope }
@@ -273,8 +281,8 @@
 func Spread(now time.Time, candidates []Candidate) bool {
 	least, known := math.Inf(1), false
 	for _, c := range candidates {
-		if r, _, ok := c.estimate.Latest(now); ok {
-			least, known = min(least, r.cost()), true
+		if r, age, ok := c.estimate.Latest(now); ok {
+			least, known = min(least, r.cost(age)), true
 		}
 	}
 	if !known {
@@ -284,8 +292,8 @@
 	for i := range candidates {
 		c := &candidates[i]
 		slowness := 1.0
-		if r, _, ok := c.estimate.Latest(now); ok {
-			slowness = r.cost() / least
+		if r, age, ok := c.estimate.Latest(now); ok {
+			slowness = r.cost(age) / least
 		}
 		fixed, movable := c.estimate.expected(now, c.slots)
 		if c.fixed {
--- a/core/route/fleet_test.go
+++ b/core/route/fleet_test.go
@@ -29,9 +29,13 @@
 	dataCentres int
 	anywhere    bool // servers in other data centres cost no more
 	// skew is the demand of each VM of data centre 1, as a multiple of that of other VMs.
-	skew   float64
-	policy policy
-	seed   uint64
+	skew float64
+	// fails is the share of the reads that slowServer of the first group, or both replicas if alike is set, fails from failsFrom until
+	// failsUntil after the start: at once, or after hangTime if hangs is set.
+	fails        float64
+	alike, hangs bool
+	policy       policy
+	seed         uint64
 }
 
 const (
@@ -44,6 +48,11 @@
 	longShare     = 0.1
 	longFactor    = 5
 	slowServer    = 1
+	failsFrom     = 5 * time.Second
+	failsUntil    = 8 * time.Second
+	failureTime   = time.Millisecond
+	hangTime      = 500 * time.Millisecond
+	bucket        = 500 * time.Millisecond
 	sampleSpacing = 5 * time.Millisecond
 	localDelay    = 300 * time.Microsecond
 	remoteDelay   = 1400 * time.Microsecond
@@ -140,7 +149,8 @@
 	waiting    []trialRead
 	meter      even.Meter
 	arrivals   int
-	sum, sum2  float64 // of the samples of its load
+	sum, sum2  float64                       // of the samples of its load
+	timeline   [trialLength / bucket]float64 // arrivals
 }
 
 func (s *trialServer) load() int { return s.running + len(s.waiting) }
@@ -150,6 +160,7 @@
 	work       time.Duration
 	sent       time.Time
 	sendBackAt int
+	again      bool // it has failed before
 }
 
 type trialGroup struct {
@@ -165,9 +176,10 @@
 	busiest   float64 // arrivals of the busiest replica over the mean
 	swing     float64 // standard deviation of the load of a replica over time, averaged over the replicas
 	mean, p99 time.Duration
-	remote    float64 // share of the reads in another data centre than their VM
-	again     float64 // share of the reads that owners sent back
-	slowShare float64 // share of the first group's reads on the slow server
+	remote    float64   // share of the reads in another data centre than their VM
+	again     float64   // share of the reads that owners sent back
+	timeline  []float64 // share of the first group's reads on slowServer, by bucket
+	slowShare float64   // share of the first group's reads on the slow server
 }
 
 type trialEvent struct {
@@ -209,6 +221,13 @@
 		}
 		if n == 0 {
 			f.slowShare = float64(g.servers[slowServer].arrivals) / float64(all)
+			for i, n := range g.servers[slowServer].timeline {
+				all := 0.0
+				for _, k := range g.replicas {
+					all += g.servers[k].timeline[i]
+				}
+				f.timeline = append(f.timeline, n/all)
+			}
 		}
 	}
 	f.swing /= float64(len(arrivals))
@@ -280,6 +299,7 @@
 		heap.Push(&events, trialEvent{at: at, seq: seq, run: run})
 	}
 	var serve func(i int, now time.Time)
+	var send func(i int, r trialRead, now time.Time)
 	serve = func(i int, now time.Time) {
 		s := &g.servers[i]
 		queue := &s.waiting
@@ -291,10 +311,22 @@
 			*queue = (*queue)[1:]
 			s.running++
 			took := time.Duration(float64(r.work) * s.slowness)
+			failed := n == 0 && (i == slowServer || tr.alike) && !now.Before(start.Add(failsFrom)) && now.Before(start.Add(failsUntil)) &&
+				g.random.Float64() < tr.fails
+			switch {
+			case failed && tr.hangs:
+				took = hangTime
+			case failed:
+				took = failureTime
+			}
 			end := now.Add(took)
 			after(end.Sub(start), func(now time.Time) {
 				s.running--
-				s.meter.RecordSuccess(now, took)
+				if failed {
+					s.meter.RecordFailure(now)
+				} else {
+					s.meter.RecordSuccess(now, took)
+				}
 				v := &g.vms[r.vm]
 				report := s.meter.Report(now, s.load(), v.place)
 				back := delay(v.dataCentre, s.dataCentre)
@@ -304,6 +336,13 @@
 						tr.policy.report(v, now, i, report)
 					}
 					v.table.Finished(now, serverName(i), false, 0)
+					if failed && !r.again {
+						r.again, r.sendBackAt = true, 0
+						other := chooseOther(v, now, serverName(i))
+						v.table.Started(now, serverName(other))
+						send(other, r, now)
+						return
+					}
 					if r.sent.Sub(start) > trialWarmUp {
 						latencies = append(latencies, now.Sub(r.sent))
 					}
@@ -312,7 +351,6 @@
 			})
 		}
 	}
-	var send func(i int, r trialRead, now time.Time)
 	send = func(i int, r trialRead, now time.Time) {
 		v, s := &g.vms[r.vm], &g.servers[i]
 		way := delay(v.dataCentre, s.dataCentre)
@@ -330,6 +368,9 @@
 				})
 				return
 			}
+			if now.Sub(start) < trialLength {
+				s.timeline[now.Sub(start)/bucket]++
+			}
 			if now.Sub(start) > trialWarmUp {
 				s.arrivals++
 				if s.dataCentre != v.dataCentre {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -5,7 +5,6 @@
 package route
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -380,31 +379,39 @@
 	if s == nil || chosen == t.primary {
 		return 0
 	}
-	var others []even.Candidate
+	candidates := []even.Candidate{even.NewCandidate(&s.estimate, s.slots, 0)}
 	for _, r := range t.replicasFor(now, n, append([]string{chosen}, excluded...)) {
 		if report, _, known := r.estimate.Latest(now); known && report.Demand() < float64(r.slots) {
-			others = append(others, even.NewCandidate(&r.estimate, r.slots, 0))
+			candidates = append(candidates, even.NewCandidate(&r.estimate, r.slots, 0))
 		}
 	}
-	if !even.Spread(now, others) {
+	if len(candidates) == 1 || !even.Spread(now, candidates) {
 		return 0
 	}
-	least := slices.MinFunc(others, func(a, b even.Candidate) int { return cmp.Compare(a.Load(), b.Load()) })
-	return int(math.Round(float64(s.slots) * max(minSendBackLoad, least.Load()+sendBackMargin)))
+	least := math.Inf(1)
+	for _, c := range candidates[1:] {
+		least = min(least, c.LoadWithOneMore())
+	}
+	return int(math.Round(float64(s.slots) * max(minSendBackLoad, least+sendBackMargin)))
 }
 
 // maxCredit bounds what a server may be owed, so that it gets no burst of reads after a time in which it could not have any.
 const maxCredit = 1
 
-// takeByShare adds each server's share to its credit and takes the one with the most credit, less the units of this VM that run
-// there. A VM's own reads are thus spread more evenly than by chance, and away from a server at which they are held up.
+// takeByShare adds each server's share to its credit, and takes the one with the fewest units of this VM, in proportion to its share,
+// where credit counts as units fewer. A VM's own reads are thus spread more evenly than by chance, and away from a server at which
+// they are held up.
 func takeByShare(servers []*server, candidates []even.Candidate) *server {
 	var best *server
+	least := math.Inf(1)
 	for i, s := range servers {
 		share := candidates[i].Share()
 		s.credit = min(s.credit+share, maxCredit)
-		if share > 0 && (best == nil || s.credit-float64(s.inFlight) > best.credit-float64(best.inFlight)) {
-			best = s
+		if share <= 0 {
+			continue
+		}
+		if excess := (float64(s.inFlight) + maxCredit - s.credit) / share; excess < least {
+			best, least = s, excess
 		}
 	}
 	best.credit = max(best.credit-1, -maxCredit)
--- a/io/pool/load.go
+++ b/io/pool/load.go
@@ -41,11 +41,9 @@
 	defer p.mu.Unlock()
 	now := p.clock()
 	switch {
-	case err != nil:
-		p.meter.RecordSilence(now, took)
-	case code == result.OK:
+	case err == nil && code == result.OK:
 		p.meter.RecordSuccess(now, took)
-	case code == result.StatementFailed, code == result.Overloaded, code == result.AnswerLost, code == result.Internal:
+	case err != nil, code == result.StatementFailed, code == result.Overloaded, code == result.AnswerLost, code == result.Internal:
 		p.meter.RecordFailure(now)
 	}
 }
