io/pool: only failures of the server count against it

A statement that got its slot too late to be sent would have counted as a failure of the server, most of all in an overload. Found by reading; TestOnlyFailuresOfTheServerCount covers it.

--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -100,7 +100,9 @@
 	slotAcquired := c.pool.clock()
 	defer func() { c.pool.releaseSlot(c.pool.clock().Sub(slotAcquired)) }()
 	r, sent, err := c.Do(timeout-slotAcquired.Sub(start), op)
-	c.pool.recordEnd(c.pool.clock().Sub(slotAcquired), r.Code(), err)
+	if sent || err == nil {
+		c.pool.recordEnd(c.pool.clock().Sub(slotAcquired), r.Code(), err)
+	}
 	return r, sent, err
 }
 
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -321,6 +321,27 @@
 	g.Expect(group.SendBackAt(need, "s2", []string{"s1"})).To(gomega.BeZero(), "a second try")
 }
 
+// Guards against a server that is taken for failing because statements got a slot too late to be sent, and against failures that
+// do not count.
+func TestOnlyFailuresOfTheServerCount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fakes, group := newGroup(t, 1)
+	c := acquire(t, group, "ledger-0", nil)
+	p, _ := group.Pool("ledger-0")
+	read := func(timeout time.Duration) error {
+		_, _, err := c.Run(timeout, 1, exec.NewRun("1", "READ x", point.Point{}))
+		return err
+	}
+	g.Expect(read(timeout)).To(gomega.Succeed())
+	g.Expect(p.load(0).Known()).To(gomega.BeTrue())
+	g.Expect(read(0)).NotTo(gomega.Succeed())
+	g.Expect(p.load(0).Failed()).To(gomega.BeZero())
+	fakes.Server(0).SetBusy(true)
+	g.Expect(read(timeout)).To(gomega.Succeed(), "the server answers that it is busy")
+	g.Expect(p.load(0).Failed()).To(gomega.BeNumerically(">", 0))
+	c.Release()
+}
+
 // eventCounter counts the lines with shares.
 type eventCounter struct{ shares int }
 
