--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -19,6 +19,7 @@
 	QuotaRefused       ID = 205
 	RouteRetry         ID = 300
 	RouteNoBarrier     ID = 301
+	RouteShares        ID = 302
 	EndptDown          ID = 400
 	EndptUp            ID = 401
 	EndptPoisoned      ID = 402
@@ -92,6 +93,7 @@
 	{QuotaRefused, LayerCaller, "operations refused for the quota of their workspace", "None for over_limit, unless the limit in the configuration is too low; for no_holder, look for the holders of the workspace's portions (607, 608)."},
 	{RouteRetry, LayerRoute, "unit of work retried", "None, unless the rate is high; then check the servers that it names."},
 	{RouteNoBarrier, LayerRoute, "barrier for a session not confirmed", "Check which servers of the group can be reached from this data centre."},
+	{RouteShares, LayerRoute, "shares of the servers in reads", "None; the fields show the load that this VM knows of each server, how old that is, and how many units it has sent there."},
 	{EndptDown, LayerEndpoint, "server unreachable", "Check the server and the network between it and this VM."},
 	{EndptUp, LayerEndpoint, "server reachable", "None."},
 	{EndptPoisoned, LayerEndpoint, "server connection in unknown state closed", "None, unless the rate is high."},
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -6,7 +6,10 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"verbenagate/core/admit"
+	"verbenagate/core/event"
 	"verbenagate/core/exec"
 	"verbenagate/core/fresh"
 	"verbenagate/core/layout"
@@ -53,6 +56,7 @@
 	paths         Paths
 	departures    map[string]departure // by id of a server that is not registered any more
 	basis         basis                // of the last update
+	shareLog      *shareLog            // of all groups of the VM
 }
 
 // basis identifies what the limits and owners of a group's servers are derived from, apart from the servers.
@@ -185,10 +189,20 @@
 // Choose returns the server for a statement with this need, other than those in excluded, and counts the statement as running
 // there. Servers in data centres that cannot be reached are chosen last. It returns false if there is none.
 func (g *Group) Choose(need route.Need, excluded []string) (string, bool) {
+	id, ok, shares := g.choose(need, excluded)
+	if len(shares) > 0 {
+		g.log.Event(event.RouteShares, zap.String("group", g.name), zap.String("server", id), zap.Any("shares", shares))
+	}
+	return id, ok
+}
+
+// choose does what Choose does. Now and then it also returns what the choice was made by, for the log, if servers have owners, which
+// report loads.
+func (g *Group) choose(need route.Need, excluded []string) (id string, ok bool, shares []route.Share) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.recordOwnLoads()
 	now := g.clock()
-	id, ok := "", false
 	unreachable := g.unreachableServers()
 	if len(unreachable) > 0 {
 		id, ok = g.table.Choose(now, need, append(unreachable, excluded...))
@@ -197,9 +211,12 @@
 		id, ok = g.table.Choose(now, need, excluded)
 	}
 	if ok {
+		if len(g.owners) > 0 && g.shareLog.allows(now) {
+			shares = g.table.Shares(now)
+		}
 		g.table.Started(now, id)
 	}
-	return id, ok
+	return id, ok, shares
 }
 
 // unreachableServers returns the ids of the servers in data centres that this VM cannot reach. The caller holds mu.
@@ -347,6 +364,7 @@
 	forwarder Forwarder
 	paths     Paths
 	view      *watch.View
+	shareLog  shareLog
 }
 
 // NewSet returns an empty Set for a VM in localDataCentre. The parameter vmCount is the number of VMs that share the servers, until
@@ -396,7 +414,8 @@
 			g = &Group{
 				name: name, vm: s.vm, localDataCentre: s.localDataCentre, clock: s.clock, dialer: s.dialer, log: s.log, counts: &s.counts,
 				pools: make(map[string]*Pool), forwarder: s.forwarder, paths: s.paths,
-				table: route.NewTable(s.localDataCentre, nil, route.NewCosts(remotePenalty, primaryPenalty)),
+				shareLog: &s.shareLog,
+				table:    route.NewTable(s.localDataCentre, nil, route.NewCosts(remotePenalty, primaryPenalty)),
 			}
 			s.groups[name] = g
 		}
@@ -505,6 +524,8 @@
 	Leader  string  `json:"leader"`
 	Version uint64  `json:"version"`
 	Pools   []State `json:"pools"`
+	// Shares is how this VM spreads its statements over the servers, and what it knows of their load.
+	Shares []route.Share `json:"shares"`
 }
 
 // State returns a copy of the state of all groups.
@@ -523,6 +544,7 @@
 				state.Pools = append(state.Pools, ps)
 			}
 		}
+		state.Shares = g.table.Shares(g.clock())
 		g.mu.Unlock()
 		all = append(all, state)
 	}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"verbenagate/core/admit"
+	"verbenagate/core/even"
 	"verbenagate/core/event"
 	"verbenagate/core/evict"
 	"verbenagate/core/exec"
@@ -120,7 +121,11 @@
 	c.pool.recordStart(c)
 	slotAcquired := c.pool.clock()
 	defer func() { c.pool.releaseSlot(priority, c.pool.clock().Sub(slotAcquired)) }()
-	return c.Do(timeout-slotAcquired.Sub(start), op)
+	r, sent, err := c.Do(timeout-slotAcquired.Sub(start), op)
+	if sent || err == nil {
+		c.pool.recordEnd(c.pool.clock().Sub(slotAcquired), r.Code(), err)
+	}
+	return r, sent, err
 }
 
 // SetSessionValues sets the session values of the connection to values. If the connection has a value that is not in values, it is
@@ -233,6 +238,7 @@
 	connWaiters      admit.Queue[*connWaiter]
 	waitersInOrder   []*connWaiter // reused by grantConns
 	gate             admit.Gate
+	meter            even.Meter
 	running          int // statements that occupy a slot of the server
 	slotWaiters      admit.Queue[*slotWaiter]
 	dialBlockedUntil time.Time  // until then Acquire opens no connection
@@ -299,6 +305,9 @@
 	ReadOnly bool
 	// Workspace is the workspace of the caller. Only a connection that was opened for it may run the caller's statement.
 	Workspace string
+	// SendBackAt is from how many statements ahead on the server's owner refuses the statement, as not run, since another server
+	// can run it sooner; 0 for never.
+	SendBackAt int
 }
 
 // Acquire returns a connection of the workspace in request: an idle one, preferably with the session values in request, or a new one
@@ -720,6 +729,7 @@
 	now := p.clock()
 	deadline := now.Add(timeout)
 	p.mu.Lock()
+	p.meter.RecordStatement(p.clock())
 	if p.running < p.limits.maxRunning {
 		p.running++
 		p.mu.Unlock()
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -43,7 +43,7 @@
 	set.Update(new(watch.View))
 	g := &Group{
 		name: "ledger", vm: "vm", localDataCentre: "dc0", clock: time.Now, dialer: set.dialer, log: nopLogger{},
-		pools: make(map[string]*Pool),
+		pools: make(map[string]*Pool), shareLog: &shareLog{},
 	}
 	var members []layout.Server
 	for _, s := range fakes.Servers() {
@@ -256,6 +256,7 @@
 func newSpreadGroup(vm, localDataCentre string) *Group {
 	group := &Group{
 		name: "ledger", vm: vm, localDataCentre: localDataCentre, clock: time.Now, log: nopLogger{}, pools: make(map[string]*Pool),
+		shareLog: &shareLog{},
 	}
 	var members []layout.Server
 	for n := range 3 {
@@ -287,6 +288,86 @@
 	}
 }
 
+// Guards against the owner of a server that sends its own reads there although it sees that they would wait.
+func TestOwnerChoosesByItsQueue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	group := newSpreadGroup("vm", "dc1")
+	owners := map[string][]lead.Member{"s1": {lead.NewMember("vm", 1, 0, nil)}, "s2": {lead.NewMember("other", 1, 0, nil)}}
+	group.update(group.Members(), fixedLimits(9, 9), owners)
+	choose := func() string {
+		id, _ := group.Choose(route.NewAtLeast(point.New(1, 10)), nil)
+		group.Finished(id, false)
+		return id
+	}
+	p, _ := group.Pool("s1")
+	p.recordEnd(10*time.Millisecond, result.OK, nil)
+	g.Expect(choose()).To(gomega.Equal("s1"))
+	for range 9 {
+		g.Expect(p.acquireSlot(timeout, admit.NewRank(1, time.Now().Add(timeout)))).To(gomega.BeTrue())
+	}
+	g.Expect(p.Ahead(1, timeout)).To(gomega.Equal(9))
+	g.Expect(choose()).To(gomega.Equal("s2"))
+	g.Expect(group.Load("s1", 0).Load()).To(gomega.Equal(9))
+	g.Expect(group.Load("s2", 0).Known()).To(gomega.BeFalse(), "another VM owns the server")
+	for range 9 {
+		p.releaseSlot(10 * time.Millisecond)
+	}
+	g.Expect(choose()).To(gomega.Equal("s1"))
+	group.RecordLoad("s1", group.Load("s1", 0))
+	group.RecordLoad("s2", group.Load("s1", 0))
+	need := route.NewAtLeast(point.New(1, 10))
+	g.Expect(group.SendBackAt(need, "s2", nil)).To(gomega.BeNumerically(">", 0))
+	g.Expect(group.SendBackAt(need, "s1", nil)).To(gomega.BeZero(), "the own server")
+	g.Expect(group.SendBackAt(need, "s2", []string{"s1"})).To(gomega.BeZero(), "a second try")
+}
+
+// Guards against a server that is taken for failing because statements got a slot too late to be sent, and against failures that
+// do not count.
+func TestOnlyFailuresOfTheServerCount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fakes, group := newGroup(t, 1)
+	c := acquire(t, group, "ledger-0", nil)
+	p, _ := group.Pool("ledger-0")
+	read := func(timeout time.Duration) error {
+		_, _, err := c.Run(timeout, 1, exec.NewRun("1", "READ x", point.Point{}))
+		return err
+	}
+	g.Expect(read(timeout)).To(gomega.Succeed())
+	g.Expect(p.load(0).Known()).To(gomega.BeTrue())
+	g.Expect(read(0)).NotTo(gomega.Succeed())
+	g.Expect(p.load(0).Failed()).To(gomega.BeZero())
+	fakes.Server(0).SetBusy(true)
+	g.Expect(read(timeout)).To(gomega.Succeed(), "the server answers that it is busy")
+	g.Expect(p.load(0).Failed()).To(gomega.BeNumerically(">", 0))
+	c.Release()
+}
+
+// eventCounter counts the lines with shares.
+type eventCounter struct{ shares int }
+
+func (c *eventCounter) Event(id event.ID, _ ...zap.Field) {
+	if id == event.RouteShares {
+		c.shares++
+	}
+}
+
+// Guards against log lines with the shares that grow with the load, and against none at all.
+func TestSharesAreLoggedAtABoundedRate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	lines := &eventCounter{}
+	group := newSpreadGroup("vm", "dc1")
+	group.clock, group.log = func() time.Time { return now }, lines
+	group.Choose(route.NewAtLeast(point.New(1, 10)), nil)
+	g.Expect(lines.shares).To(gomega.BeZero(), "no server has an owner that reports its load")
+	group.owners = map[string][]lead.Member{"s1": {lead.NewMember("other", 1, 0, nil)}}
+	for range 100 {
+		group.Choose(route.NewAtLeast(point.New(1, 10)), nil)
+		now = now.Add(shareLogInterval / 20)
+	}
+	g.Expect(lines.shares).To(gomega.Equal(5))
+}
+
 // cutPaths holds the data centres that cannot be reached.
 type cutPaths map[string]bool
 
--- a/io/remote/caller.go
+++ b/io/remote/caller.go
@@ -164,7 +164,7 @@
 	q.Group, q.Server, q.Session, q.Priority = s.group.Name(), s.server, s.id, priority
 	q.Timeout, q.AnswerWithin, q.Workspace = timeout, answerWithin, s.request.Workspace
 	if s.id == 0 || q.Kind == kindBegin {
-		q.MaxAge = s.request.MaxAge
+		q.MaxAge, q.Place, q.SendBackAt = s.request.MaxAge, s.group.Place(), s.request.SendBackAt
 	}
 	if s.id == 0 || s.sentValues == nil || !maps.Equal(s.values, s.sentValues) {
 		q.Values, s.sentValues = s.values, maps.Clone(s.values)
@@ -188,10 +188,14 @@
 		return exec.Result{}, sent, err
 	}
 	s.caller.paths.RecordAnswer(s.owner)
+	s.group.RecordLoad(s.server, r.Load.report())
 	if r.Error != 0 {
 		if r.Error == result.ShuttingDown {
 			s.caller.pause(s.owner, stoppingOwnerPause, result.New(r.Error, "%s", r.Message))
 		}
+		if r.SentBack {
+			return exec.Result{}, false, result.Wrap(r.Error, pool.ErrSentBack, "%s", r.Message)
+		}
 		s.broken = s.broken || r.ServerFailed
 		return exec.Result{}, r.Sent, result.New(r.Error, "%s", r.Message)
 	}
--- a/io/remote/owner.go
+++ b/io/remote/owner.go
@@ -138,7 +138,8 @@
 			return errorReply(err, false, false), nil
 		}
 		reply := checkReply(o.run(ctx, from, q), h)
-		if reply.Error != 0 {
+		reply.Load = o.load(q)
+		if reply.Error != 0 && !reply.SentBack {
 			o.log.Event(event.ForwardFailed, zap.String("id", q.ID), zap.String("server", q.Server),
 				zap.String("result", result.Lookup(reply.Error).Name()), zap.String("message", reply.Message),
 				zap.Bool("sent", reply.Sent), zap.Duration("age", c.Age()))
@@ -207,6 +208,16 @@
 	o.running--
 }
 
+// load returns the load of the server of a request whose answer is ready, nil if it is not known here. Within a transaction the
+// calling VM has no server to choose.
+func (o *Owner) load(q runCall) *load {
+	g, ok := o.pools.Group(q.Group)
+	if !ok || q.Session != 0 && q.Kind != kindBegin {
+		return nil
+	}
+	return newLoad(g.Load(q.Server, q.Place))
+}
+
 // run runs a request on its server.
 func (o *Owner) run(ctx context.Context, from *link.Inbound, q runCall) runReply {
 	deadline := o.clock().Add(q.Timeout)
@@ -217,6 +228,17 @@
 	if q.Session != 0 && q.Kind != kindBegin {
 		return o.runInTransaction(g, from, q, deadline)
 	}
+	p, ok := g.Pool(q.Server)
+	if !ok {
+		return errorReply(result.New(result.NoServer, "server %s is not registered at this VM", q.Server), false, false)
+	}
+	if q.SendBackAt > 0 {
+		if ahead := p.Ahead(q.Priority, q.AnswerWithin); ahead >= q.SendBackAt {
+			reply := errorReply(result.New(result.Overloaded, "%d statements are ahead at server %s", ahead, q.Server), false, false)
+			reply.SentBack = true
+			return reply
+		}
+	}
 	after := q.after()
 	if q.MaxAge > 0 {
 		required, err := o.positions.required(ctx, g, q.MaxAge, deadline)
@@ -225,10 +247,6 @@
 		}
 		after = after.Max(required)
 	}
-	p, ok := g.Pool(q.Server)
-	if !ok {
-		return errorReply(result.New(result.NoServer, "server %s is not registered at this VM", q.Server), false, false)
-	}
 	requestedAt := o.clock()
 	c, err := p.Acquire(pool.AcquireRequest{
 		Timeout: deadline.Sub(requestedAt), AnswerWithin: q.AnswerWithin, Priority: q.Priority, SessionValues: q.Values,
@@ -241,6 +259,7 @@
 		}
 		return errorReply(err, false, failed)
 	}
+	g.RecordOrigin(q.Server, q.Place)
 	reply := o.runOn(g, c, q, after, deadline)
 	if q.Kind == kindBegin && reply.Error == 0 && reply.State == query.Open {
 		o.hold(from, q.Session, c)
