--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -303,14 +303,14 @@
 	p.recordEnd(10*time.Millisecond, result.OK, nil)
 	g.Expect(choose()).To(gomega.Equal("s1"))
 	for range 9 {
-		g.Expect(p.acquireSlot(timeout, admit.NewRank(1, time.Now().Add(timeout)))).To(gomega.BeTrue())
+		g.Expect(p.acquireSlot(timeout, admit.NewRank(1, time.Now().Add(timeout)))).To(gomega.Succeed())
 	}
 	g.Expect(p.Ahead(1, timeout)).To(gomega.Equal(9))
 	g.Expect(choose()).To(gomega.Equal("s2"))
 	g.Expect(group.Load("s1", 0).Load()).To(gomega.Equal(9))
 	g.Expect(group.Load("s2", 0).Known()).To(gomega.BeFalse(), "another VM owns the server")
 	for range 9 {
-		p.releaseSlot(10 * time.Millisecond)
+		p.releaseSlot(1, 10 * time.Millisecond)
 	}
 	g.Expect(choose()).To(gomega.Equal("s1"))
 	group.RecordLoad("s1", group.Load("s1", 0))
