--- a/io/watch/follow.go
+++ b/io/watch/follow.go
@@ -44,7 +44,11 @@
 		var s port.Snapshot
 		var err error
 		if listed {
-			s, err = rows.Changes(ctx, table, version, longPollWait)
+			wait := longPollWait
+			if failures > 0 {
+				wait = 0 // The answer shows at once that the store can be reached again.
+			}
+			s, err = rows.Changes(ctx, table, version, wait)
 		} else {
 			s, err = rows.List(ctx, table)
 		}
