--- a/io/relay/hub.go
+++ b/io/relay/hub.go
@@ -82,7 +82,8 @@
 }
 
 // Changes waits up to limit for rows of a table that were changed after the version after, firstListTimeout at least, since the table
-// may have to be listed first. It returns each row in its newest state, and port.ErrHistoryGone if the hub does not hold all changes since that version.
+// may have to be listed first. It returns each row in its newest state, and port.ErrHistoryGone if the hub does not hold all changes
+// since that version.
 func (h *hub) Changes(ctx context.Context, name string, after uint64, limit time.Duration) (port.Snapshot, error) {
 	t := h.acquire(name)
 	defer h.release(t)
