io/pool: do not refuse others when a request had too little time for its connection

Cause: a request whose own time ran out while its connection was opened made all waiting requests without a connection fail. Change: only a failure within the request's time refuses the others. TestShortRequestRefusesNoOthers fails without it.

--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -537,7 +537,8 @@
 		p.grantConns(p.clock())
 		return nil, result.New(result.QueueFull, "timed out waiting for a free slot of server %s", p.server.ID())
 	}
-	c, err := p.dial(deadline.Sub(p.clock()), w.Workspace())
+	start := p.clock()
+	c, err := p.dial(deadline.Sub(start), w.Workspace())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if needsSlot {
@@ -546,6 +547,9 @@
 	}
 	if err != nil {
 		p.endDial(w)
+		if p.limits.workspaces && p.clock().Before(deadline) { // otherwise the failure may be due to this request's short time
+			p.refuseWaiters(err)
+		}
 		p.recordDialFailure(err)
 		return nil, err
 	}
@@ -587,8 +591,7 @@
 		p.log.Event(event.EndptDown, zap.String("server", p.server.ID()), zap.Error(err))
 	}
 	p.lastDialRefused = result.HasCause(err, syscall.ECONNREFUSED)
-	switch code := result.CodeOf(err); {
-	case code == result.TooManyCallers || code == result.Overloaded:
+	if code := result.CodeOf(err); isFull(code) {
 		p.room = evict.RoomForReplacement
 		if code == result.Overloaded {
 			p.room = evict.NoRoom
@@ -599,15 +602,21 @@
 			defer p.mu.Unlock()
 			p.grantConns(p.clock())
 		})
-	case p.limits.workspaces:
-		p.refuseWaiters(err)
 	}
 	p.grantConns(p.clock())
 }
 
-// refuseWaiters refuses the waiting requests whose workspace has no connection. Only few connections are opened at a time, so that on a
-// server that does not answer, they would find out one after the other. The caller holds mu.
+// isFull reports whether a server refuses connections with this code for a moment only.
+func isFull(code result.Code) bool {
+	return code == result.TooManyCallers || code == result.Overloaded
+}
+
+// refuseWaiters refuses the waiting requests whose workspace has no connection, as the server does not accept any. Only few connections
+// are opened at a time, so that the requests would find out one after the other. The caller holds mu.
 func (p *Pool) refuseWaiters(err error) {
+	if isFull(result.CodeOf(err)) {
+		return
+	}
 	waiters, _ := p.connWaiters.Order(nil, p.clock(), p.gate.ServiceTime())
 	for _, w := range waiters {
 		if !p.conns.Has(w.Workspace()) {
--- a/io/pool/workspace_test.go
+++ b/io/pool/workspace_test.go
@@ -37,10 +37,14 @@
 	closed    atomic.Bool
 }
 
-func (d *countingDialer) Dial(_ context.Context, _, _, _, workspace string) (port.ServerConn, error) {
+func (d *countingDialer) Dial(ctx context.Context, _, _, _, workspace string) (port.ServerConn, error) {
 	raise(&d.mostDialing, d.dialing.Add(1))
 	defer d.dialing.Add(-1)
-	time.Sleep(d.dialTime)
+	select {
+	case <-time.After(d.dialTime):
+	case <-ctx.Done():
+		return nil, result.Wrap(result.ConnectFailed, ctx.Err(), "the server does not answer")
+	}
 	if d.refusals.Add(-1) >= 0 {
 		return nil, result.New(d.refusal, "the server refuses a connection")
 	}
@@ -316,6 +320,27 @@
 	g.Expect(p.State().Open).To(gomega.BeZero())
 }
 
+// Guards against requests that are refused because another one had too little time to open its connection.
+func TestShortRequestRefusesNoOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, p := newCountedPool(20)
+	d.dialTime = 600 * time.Millisecond
+	short := make(chan error)
+	go func() {
+		_, err := acquireFor(p, "short", 400*time.Millisecond)
+		short <- err
+	}()
+	waitUntil(t, func() bool { return d.dialing.Load() == 1 })
+	got := acquireAll(p, "a", "b") // one connection is opened at a time
+	waitUntil(t, func() bool { return p.State().Waiting == 2 })
+	g.Expect(result.CodeOf(<-short)).To(gomega.Equal(result.ConnectFailed))
+	for range 2 {
+		a := <-got
+		g.Expect(a.err).NotTo(gomega.HaveOccurred())
+		a.conn.Release()
+	}
+}
+
 // Guards against a server that refuses connections because it is overloaded, and loses the idle ones of other workspaces one by one.
 func TestOverloadedServerKeepsConnections(t *testing.T) {
 	g := gomega.NewWithT(t)
