--- a/core/evict/evict.go
+++ b/core/evict/evict.go
@@ -150,6 +150,9 @@
 	return n
 }
 
+// Exhausted reports whether a request of a workspace that uses connections must wait until another one is released.
+func (c *Cache) Exhausted() bool { return c.limits.open-c.inUse <= c.limits.reserve }
+
 // Has reports whether a workspace has a connection.
 func (c *Cache) Has(workspace string) bool { return c.holdings[workspace] != nil }
 
@@ -159,7 +162,7 @@
 	switch {
 	case c.starting >= c.limits.starting:
 		return Wait
-	case h != nil && h.inUse > 0 && c.limits.open-c.inUse <= c.limits.reserve && c.limits.reserve > 0:
+	case h != nil && h.inUse > 0 && c.limits.reserve > 0 && c.Exhausted():
 		return Wait
 	case h != nil && h.idle > 0:
 		return Reuse
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -302,7 +302,9 @@
 	ahead := p.connWaiters.Ahead(rank, now, p.gate.ServiceTime())
 	p.connWaiters.Push(w, rank)
 	p.grantConns(now)
-	if len(w.granted) == 0 && !p.gate.Admits(ahead, p.limits.maxOpen, request.AnswerWithin) {
+	// Where connections belong to workspaces, a request may also wait for statements ahead of it to run, which was judged above.
+	waitsForConn := len(w.granted) == 0 && (!p.limits.workspaces || p.conns.Exhausted())
+	if waitsForConn && !p.gate.Admits(ahead, p.limits.maxOpen, request.AnswerWithin) {
 		p.connWaiters.Remove(w)
 		wait := p.gate.ExpectedWait(ahead, p.limits.maxOpen)
 		p.mu.Unlock()
--- a/io/pool/workspace_test.go
+++ b/io/pool/workspace_test.go
@@ -284,6 +284,23 @@
 	g.Expect((<-got).err).NotTo(gomega.HaveOccurred())
 }
 
+// Guards against a statement that is refused for want of a connection, which transactions hold for long, while it waits only for those
+// ahead of it to run.
+func TestOnlyExhaustedPoolRefuses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, p := newCountedPool(20)
+	p.gate.RecordHoldTime(time.Hour)
+	got := acquireAll(p, "a", "b", "c")
+	var conns []*Conn
+	for range 3 {
+		conns = append(conns, (<-got).conn)
+	}
+	got = acquireAll(p, "d")
+	waitUntil(t, func() bool { return p.State().Waiting == 1 })
+	conns[0].Release()
+	g.Expect((<-got).err).NotTo(gomega.HaveOccurred())
+}
+
 // Guards against many workspaces that want a first connection at one moment and take all slots of the server.
 func TestOpeningIsPaced(t *testing.T) {
 	g := gomega.NewWithT(t)
