--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -38,8 +38,8 @@
 	// serverFullBackoff is how long Acquire opens no connection after the server refused one because it has too many or is
 	// overloaded.
 	serverFullBackoff = 150 * time.Millisecond
-	// ownerSettleTime is how long a VM has been the owner of a server before it counts on being the only one. It is twice the interval at
-	// which a VM reads the list of VMs if nothing calls for it sooner.
+	// ownerSettleTime is how long a VM has been the owner of a server before it counts on being the only one, if the server does not say
+	// so. It is twice the interval at which a VM reads the list of VMs if nothing calls for it sooner.
 	ownerSettleTime = 10 * time.Second
 )
 
@@ -235,8 +235,9 @@
 
 // counts are those of all pools of a VM.
 type counts struct {
-	opened   atomic.Int64 // connections
-	replaced atomic.Int64 // idle connections that were closed for another workspace
+	opened    atomic.Int64 // connections
+	replaced  atomic.Int64 // idle connections that were closed for another workspace
+	settledAt atomic.Int64 // the latest settledAt of a pool, in Unix nanoseconds
 }
 
 func newPool(server layout.Server, dialer port.Dialer, clock func() time.Time, log logs.Logger, n *counts) *Pool {
@@ -322,7 +323,9 @@
 	place := p.connWaiters.Place(rank, now, p.gate.ServiceTime())
 	p.connWaiters.Push(w, rank, now)
 	p.grantConns(now)
-	if len(w.granted) == 0 && !p.gate.AdmitsPlaceForConn(place, p.limits.maxOpen, request.AnswerWithin) {
+	// Where connections belong to workspaces, a request may also wait for statements ahead of it to run, which was judged above.
+	waitsForConn := len(w.granted) == 0 && (!p.limits.workspaces || p.conns.Exhausted())
+	if waitsForConn && !p.gate.AdmitsPlaceForConn(place, p.limits.maxOpen, request.AnswerWithin) {
 		p.connWaiters.Remove(w)
 		wait := max(p.gate.ExpectedWait(place.Ahead(), p.limits.maxOpen), place.Wait())
 		p.mu.Unlock()
@@ -602,7 +605,8 @@
 			return nil, err
 		}
 	}
-	c, err := p.dial(deadline.Sub(p.clock()), w.Workspace())
+	start := p.clock()
+	c, err := p.dial(deadline.Sub(start), w.Workspace())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if needsSlot {
@@ -611,6 +615,9 @@
 	}
 	if err != nil {
 		p.endDial(w)
+		if p.limits.workspaces && p.clock().Before(deadline) { // otherwise the failure may be due to this request's short time
+			p.refuseWaiters(err)
+		}
 		p.recordDialFailure(err)
 		return nil, err
 	}
@@ -652,8 +659,7 @@
 		p.log.Event(event.EndptDown, zap.String("server", p.server.ID()), zap.Error(err))
 	}
 	p.lastDialRefused = result.HasCause(err, syscall.ECONNREFUSED)
-	switch code := result.CodeOf(err); {
-	case code == result.TooManyCallers || code == result.Overloaded:
+	if code := result.CodeOf(err); isFull(code) {
 		p.room = evict.RoomForReplacement
 		if code == result.Overloaded {
 			p.room = evict.NoRoom
@@ -664,15 +670,21 @@
 			defer p.mu.Unlock()
 			p.grantConns(p.clock())
 		})
-	case p.limits.workspaces:
-		p.refuseWaiters(err)
 	}
 	p.grantConns(p.clock())
 }
 
-// refuseWaiters refuses the waiting requests whose workspace has no connection. Only few connections are opened at a time, so that on a
-// server that does not answer, they would find out one after the other. The caller holds mu.
+// isFull reports whether a server refuses connections with this code for a moment only.
+func isFull(code result.Code) bool {
+	return code == result.TooManyCallers || code == result.Overloaded
+}
+
+// refuseWaiters refuses the waiting requests whose workspace has no connection, as the server does not accept any. Only few connections
+// are opened at a time, so that the requests would find out one after the other. The caller holds mu.
 func (p *Pool) refuseWaiters(err error) {
+	if isFull(result.CodeOf(err)) {
+		return
+	}
 	waiters, _ := p.connWaiters.Order(nil, p.clock(), p.gate.ServiceTime())
 	for _, w := range waiters {
 		if !p.conns.Has(w.Workspace()) {
@@ -799,12 +811,35 @@
 	now := p.clock()
 	if l.settled > 0 && p.limits.settled == 0 {
 		p.settledAt = now.Add(ownerSettleTime)
+		p.counts.settledAt.Store(p.settledAt.UnixNano())
 	}
 	p.limits = l
 	p.applyLimits(now)
 	p.grantSlots()
 }
 
+// recordConnCount records the number of connections that the server has, from all VMs.
+func (p *Pool) recordConnCount(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock()
+	if n == 0 || p.limits.settled == 0 || !now.Before(p.settledAt) {
+		return
+	}
+	// The server may not have counted those that are being opened.
+	if layout.OnlyOwner(n - (p.conns.Open() - p.conns.Opening())) {
+		p.settledAt = now
+		p.applyLimits(now)
+	}
+}
+
+// unsettled reports whether this VM has become the owner of the server and may not be the only one.
+func (p *Pool) unsettled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limits.settled > 0 && p.clock().Before(p.settledAt)
+}
+
 // applyLimits applies the limits of connections that hold at now. The caller holds mu.
 func (p *Pool) applyLimits(now time.Time) {
 	if p.limits.settled > 0 && !now.Before(p.settledAt) {
