--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -28,6 +28,8 @@
 	callTimeout  = 100 * time.Millisecond
 	// batchDelay is the time between two calls to the same VM. Operations that arrive meanwhile share the next call.
 	batchDelay = 5 * time.Millisecond
+	// probeInterval is how often VMs that did not reply are asked whether they answer again.
+	probeInterval = 400 * time.Millisecond
 	// sweepInterval is how often unused state is dropped and refusals are logged.
 	sweepInterval = time.Second
 	// maxTokens bounds the tokens of one answer.
@@ -112,6 +114,7 @@
 	}
 	d.background.Go(func() { every.Interval(ctx, sweepInterval, d.sweep) })
 	d.background.Go(func() { every.Interval(ctx, quota.LoanInterval, d.borrow) })
+	d.background.Go(func() { every.Interval(ctx, probeInterval, d.probeFailed) })
 	return d
 }
 
@@ -163,8 +166,8 @@
 	if ws.take(w.Name(), now, true) {
 		return nil
 	}
-	asked, asks := uint(0), 0
-	silent := false
+	asked := uint(0)
+	overLimit := false
 	waitUntil := minTime(deadline, now.Add(maxWait))
 	for now.Before(deadline) {
 		portion, address, ok := d.nextPortion(ws, w.Name(), limit, asked, now)
@@ -175,7 +178,6 @@
 		if !ok {
 			break
 		}
-		asks++
 		asked |= 1 << uint(portion)
 		o := d.ask(address, w.Name(), portion, limit)
 		now = d.clock()
@@ -185,19 +187,19 @@
 				return nil // A token that has ended meanwhile may not be used: its holder has granted another one in its place.
 			}
 		case noReply:
-			silent = true
 			asked &^= 1 << uint(portion) // The next candidate for the portion may hold it.
 		case notHolding:
 			asked &^= 1 << uint(portion)
 		case refused:
+			overLimit = true
 		}
 		if ws.take(w.Name(), now, false) {
 			return nil
 		}
 	}
-	why := reasonLimit
-	if silent || asks == 0 && !d.blocked(ws, w.Name(), limit, now) {
-		why = reasonSilent
+	why := reasonSilent
+	if overLimit || d.blocked(ws, w.Name(), limit, now) {
+		why = reasonLimit
 	}
 	return d.refuse(w.Name(), limit, why)
 }
--- a/io/grant/hold.go
+++ b/io/grant/hold.go
@@ -133,7 +133,13 @@
 		s.mu.Unlock()
 	}
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.asker.Sweep(now)
+}
+
+// probeFailed checks whether VMs that did not reply answer again.
+func (d *Desk) probeFailed() {
+	d.mu.Lock()
 	failed := d.asker.FailedVMs()
 	d.mu.Unlock()
 	for _, address := range failed {
