--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -226,7 +226,7 @@
 
 // takeoverDivisor is the part of the owners' connections that a VM may open that is not the only owner for certain. It needs some for
 // each slot and for transactions; connections that it would only keep idle are worth more at the owner.
-const takeoverDivisor = 4
+const takeoverDivisor = 3
 
 // TakeoverShare returns how many connections a VM may open, where they belong to workspaces, that takes over from the owner of a server
 // that accepts limit connections, or that has just become the owner.
