--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -310,7 +310,7 @@
 	g.Expect(group.Load("s1", 0).Load()).To(gomega.Equal(9))
 	g.Expect(group.Load("s2", 0).Known()).To(gomega.BeFalse(), "another VM owns the server")
 	for range 9 {
-		p.releaseSlot(1, 10 * time.Millisecond)
+		p.releaseSlot(1, 10*time.Millisecond)
 	}
 	g.Expect(choose()).To(gomega.Equal("s1"))
 	group.RecordLoad("s1", group.Load("s1", 0))
