--- a/io/grant/hold.go
+++ b/io/grant/hold.go
@@ -116,7 +116,9 @@
 // sweep logs what has changed since the last sweep, and drops what is not used any more.
 func (d *Desk) sweep() {
 	now := d.clock()
-	d.logTerms(now)
+	if d.Limited() {
+		d.logTerms(now)
+	}
 	d.logRefusals()
 	for i := range lockShards {
 		ws := &d.wallets[i]
@@ -164,6 +166,9 @@
 
 // logTerms logs the keys that this VM has begun or ceased to hold.
 func (d *Desk) logTerms(now time.Time) {
+	if d.self.Address() == "" {
+		return
+	}
 	var began, ended []string
 	for _, k := range quota.Keys() {
 		holds := d.holds(k, now)
@@ -177,7 +182,7 @@
 			ended = append(ended, k.String())
 		}
 	}
-	if len(began)+len(ended) > 0 && d.Limited() {
+	if len(began)+len(ended) > 0 {
 		d.log.Event(event.HolderChanged, zap.Strings("began", began), zap.Strings("ended", ended))
 	}
 }
