--- a/_scripts/make.go
+++ b/_scripts/make.go
@@ -35,8 +35,9 @@
 // alone are the packages that measure what a process uses, and are tested while nothing else runs.
 var alone = []string{"verbenagate/lab/flood"}
 
-// testTimeout limits the tests of one package, so that a hanging test is reported before CI itself times out.
-const testTimeout = "4m"
+// testTimeout limits the tests of one package, so that a hanging test is reported before CI itself times out. The simulations of core/quota
+// take minutes with the race detector on a busy machine.
+const testTimeout = "10m"
 
 // fuzzRuns is the number of runs of each fuzz target. With a limit in seconds, go test sometimes fails because the time ends
 // during a run.
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -35,16 +35,29 @@
 		}
 	}
 	order := owner.Order("quota/"+k.String(), names)
-	slices.SortStableFunc(order, func(a, b string) int {
-		return cmp.Or(cmp.Compare(byName[b].Cores(), byName[a].Cores()), cmp.Compare(colourDistance(a, k.portion), colourDistance(b, k.portion)))
-	})
+	ranks := make([]rank, 0, len(order))
+	for i, name := range order {
+		ranks = append(ranks, rank{cores: byName[name].Cores(), distance: colourDistance(name, k.portion), place: i})
+	}
+	slices.SortFunc(ranks, rank.compare)
 	var top []lead.Member
-	for _, name := range order[:min(len(order), maxCandidates)] {
-		top = append(top, byName[name])
+	for _, r := range ranks[:min(len(ranks), maxCandidates)] {
+		top = append(top, byName[order[r.place]])
 	}
 	return top
 }
 
+// rank orders the VMs for a key.
+type rank struct {
+	cores    float64
+	distance int
+	place    int // in the order of the key among equal VMs
+}
+
+func (r rank) compare(other rank) int {
+	return cmp.Or(cmp.Compare(other.cores, r.cores), cmp.Compare(r.distance, other.distance), cmp.Compare(r.place, other.place))
+}
+
 // colourDistance is 0 for the VMs that a portion prefers and 1 for the others.
 func colourDistance(vm string, portion int) int {
 	if int(xxhash.Sum64String(vm)%maxPortions) == portion {
