--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -649,7 +649,7 @@
 	members := e.decodeMembers(s.Rows)
 	e.mu.Lock()
 	e.recordStoreClock(sent, s)
-	e.observeLeases(s)
+	e.observeLeases(s, !e.committed)
 	e.mu.Unlock()
 	e.fleet, e.fleetReadAt, e.memberRows = lead.FleetOf(members, s.Clock), sent, nil
 	if !e.committed {
--- a/io/elect/grant.go
+++ b/io/elect/grant.go
@@ -260,9 +260,10 @@
 	return err
 }
 
-// observeLeases records the continuity of the leases in all rows of memberTable, where that is needed. The caller holds mu.
-func (e *Elector) observeLeases(s port.Snapshot) {
-	if e.needsContinuity != nil && e.needsContinuity() {
+// observeLeases records the continuity of the leases in all rows of memberTable, where that is needed. Before the first transaction of
+// this VM, which replaces one of the rows, the configuration may not say yet whether it is needed. The caller holds mu.
+func (e *Elector) observeLeases(s port.Snapshot, beforeFirstCommit bool) {
+	if beforeFirstCommit || e.needsContinuity != nil && e.needsContinuity() {
 		entries, _ := decodeAllMembers(s.Rows)
 		e.grants = e.grants.Observe(entries, s.Clock)
 	}
