--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -68,9 +68,9 @@
 
 // Holder decides which keys this VM holds. It is not safe for concurrent use.
 //
-// A VM holds a key while its lease is valid and has been so for ListLife without a gap, and while one of the lists of live VMs of the
-// last ListLife names it as the first candidate. Two VMs cannot both hold a key: the one that comes first in the order of the key has
-// been live for ListLife, so it is in each list on which the other one could rely.
+// A VM holds a key while it is present (it has a lease, or had one less than lead.Linger ago) and has been so for ListLife without a gap, and
+// while one of the lists of present VMs of the last ListLife names it as the first candidate. Two VMs cannot both hold a key: the one that
+// comes first in the order of the key has been present for ListLife, so it is in each list on which the other one could rely.
 type Holder struct {
 	leaseSince, leaseUntil, provenSince time.Time
 
