core/quota: rank VMs anew when one restarts with another size

Cause: an Asker computed its candidates again only when a name or an address of the list of VMs changed, but larger VMs come first among the candidates. After a VM restarted with other cores under its name and address within the life of its lease, the VMs that knew it before kept the old order until the next change of the list, and the restarted one used the new order. Two VMs then held the same keys and both granted the tokens of their portions. Change: the cores are part of what is compared. A field of Asker that nothing used is gone.

--- a/core/quota/asker.go
+++ b/core/quota/asker.go
@@ -14,9 +14,8 @@
 // Asker decides which VM is asked for tokens. It is not safe for concurrent use.
 type Asker struct {
 	self       lead.Member
-	live       []string
+	live       []identity
 	candidates map[Key][]lead.Member
-	order      map[int][]int   // by shard: the order in which this VM asks the portions
 	failed     map[string]bool // by address: VMs that did not reply, until they are found to answer
 	notHolder  map[candidate]time.Time
 }
@@ -39,7 +38,7 @@
 	if !a.sameMembers(live) {
 		a.live = a.live[:0]
 		for _, m := range live {
-			a.live = append(a.live, identity(m))
+			a.live = append(a.live, identityOf(m))
 		}
 		for _, k := range Keys() {
 			a.candidates[k] = Candidates(live, k)
@@ -59,14 +58,22 @@
 		return false
 	}
 	for i, m := range live {
-		if a.live[i] != identity(m) {
+		if a.live[i] != identityOf(m) {
 			return false
 		}
 	}
 	return true
 }
 
-func identity(m lead.Member) string { return m.Name() + " " + m.Address() }
+// identity is what the candidates for keys depend on.
+type identity struct {
+	name, address string
+	cores         float64
+}
+
+func identityOf(m lead.Member) identity {
+	return identity{name: m.Name(), address: m.Address(), cores: m.Cores()}
+}
 
 // Next returns the portion of the workspace to ask next at now, and the address of the VM to ask. Asked has a bit for each portion that was
 // asked already, and w knows which portions have no tokens. It returns false if no portion is left.
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -447,3 +447,17 @@
 	g.Expect(several).To(gomega.BeNumerically(">=", shards*3/4))
 	g.Expect(math.Abs(float64(len(Keys()) - shards*maxPortions))).To(gomega.BeZero())
 }
+
+// Guards against a VM that restarts with another size under the same name and address, and that the other VMs rank by its old size: two VMs
+// would hold the same keys for as long as both live.
+func TestRestartWithOtherSize(t *testing.T) {
+	g := gomega.NewWithT(t)
+	member := func(name string, cores float64) lead.Member {
+		return lead.NewMember(name, 0, 0, nil).WithLocation("dc-0", name+":1").WithCores(cores)
+	}
+	b := NewAsker(member("b", 2))
+	g.Expect(b.SetMembers([]lead.Member{member("a", 1), member("b", 2)})).To(gomega.HaveLen(len(Keys())))
+	restarted := []lead.Member{member("a", 4), member("b", 2)}
+	g.Expect(NewAsker(restarted[0]).SetMembers(restarted)).To(gomega.HaveLen(len(Keys())))
+	g.Expect(b.SetMembers(restarted)).To(gomega.BeEmpty())
+}
