core/route: keep choosing servers where reported loads are out of range

Cause: takeByShare used its result without a check. If another VM reports a demand near 1e17, which the message format allows, the amount that is spread is lost in the rounding of the levels, no server gets a share, and the result was a nil pointer. Change: no share means that the choice falls back to the cost of the servers, as without reports.

--- a/core/route/even_test.go
+++ b/core/route/even_test.go
@@ -233,3 +233,15 @@
 		Share{Server: "s2"},
 	))
 }
+
+// Guards against a VM that crashes by the report of another one whose figures are too large for the arithmetic of shares.
+func TestImpossibleReport(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newReportingGroup()
+	for n := 1; n < 3; n++ {
+		table.RecordLoad(start, serverName(n), even.NewReport(1, 1e17, 0, time.Millisecond), 0)
+	}
+	chosen, ok := table.Choose(start.Add(time.Second), NewAtLeast(point.New(1, 1)), []string{serverName(0)})
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(chosen).NotTo(gomega.BeEmpty())
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -346,7 +346,7 @@
 }
 
 // chooseByShare chooses one of the replicas, or the primary if all their slots are in use, so that each gets its share of the
-// reads. It returns nil if no owner has reported the load of a replica.
+// reads. It returns nil if no owner has reported a usable load of a replica.
 func (t *Table) chooseByShare(now time.Time, replicas []*server, primary *server) *server {
 	candidates := make([]even.Candidate, 0, len(replicas)+1)
 	for _, s := range replicas {
@@ -400,7 +400,7 @@
 
 // takeByShare adds each server's share to its credit, and takes the one with the fewest units of this VM, in proportion to its share,
 // where credit counts as units fewer. A VM's own reads are thus spread more evenly than by chance, and away from a server at which
-// they are held up.
+// they are held up. It returns nil if no server has a share: the loads that other VMs reported are too large for the arithmetic.
 func takeByShare(servers []*server, candidates []even.Candidate) *server {
 	var best *server
 	least := math.Inf(1)
@@ -414,7 +414,9 @@
 			best, least = s, excess
 		}
 	}
-	best.credit = max(best.credit-1, -maxCredit)
+	if best != nil {
+		best.credit = max(best.credit-1, -maxCredit)
+	}
 	return best
 }
 
