core/admit: drop settled workspaces from the queue

Cause: a lane that became empty was dropped only if its workspace had got back all turns at that moment, which a workspace that has just run never has. Each name that ever waited thus kept an entry for each server and priority: 10 001 after 10 000 workspaces with one statement each. Change: when the number of lanes has doubled, the empty ones that have got back all since are dropped. A new lane starts with the same tag, so the order does not change. A comment line is wrapped. Run: TestQueueForgetsWorkspaces failed before and passes; go test ./core/admit, gofumpt, vet, revive.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"iter"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -26,6 +27,8 @@
 	maxWait = time.Hour
 	// minWeight bounds the cost of a turn of a workspace with little or no weight.
 	minWeight = 1e-3
+	// minSweep is the least number of workspaces of a priority at which those that matter no more are looked for.
+	minSweep = 64
 )
 
 // Rank says how urgent a statement is that waits for a slot of a server, and for whom it runs.
@@ -69,8 +72,8 @@
 // Within a priority, workspaces share by weight, by a form of start-time fair queueing. Each start tag says how far a workspace has had
 // its share, and a statement that starts raises it by the inverse of the weight. Workspaces whose tags do not exceed the virtual time are
 // within their shares. They go first, in the order of the times until which their answers are useful, and only then the one with the least
-// tag, which raises the virtual time to it. A workspace that has been idle gets back up to maxLent turns, so what it lent is back with the next
-// slots that become free. A burst of one workspace thus lengthens its own queue only.
+// tag, which raises the virtual time to it. A workspace that has been idle gets back up to maxLent turns, so what it lent is back with the
+// next slots that become free. A burst of one workspace thus lengthens its own queue only.
 //
 // Within a workspace, the statement whose time runs out first goes first, and those that are late already go last. That order handles
 // overloads by a mix of statements of which some may take longer than others: in the order of their arrival, those with a long
@@ -90,6 +93,7 @@
 type level[T comparable] struct {
 	priority  int
 	lanes     map[string]*lane[T] // including empty ones that have got back a part of what they lent
+	sweepAt   int                 // number of lanes at which sweep runs next
 	within    laneHeap[T]         // lanes with waiting statements whose start tags do not exceed the virtual time
 	beyond    laneHeap[T]         // the others with waiting statements
 	waiting   int
@@ -413,6 +417,7 @@
 func (v *level[T]) push(w waiter[T], now time.Time) {
 	l := v.lanes[w.rank.workspace]
 	if l == nil {
+		v.sweep()
 		l = &lane[T]{workspace: w.rank.workspace, service: &v.service, start: math.Inf(-1)}
 		v.lanes[l.workspace] = l
 	}
@@ -533,11 +538,23 @@
 	if v.waiting == 0 {
 		v.overtaken = 0
 	}
-	if l.start <= v.virtual-maxLent/l.weight {
+	if v.isSettled(l) {
 		delete(v.lanes, l.workspace)
 	}
 }
 
+// isSettled reports whether an empty lane has got back all that it may get back, so that a new one would be the same.
+func (v *level[T]) isSettled(l *lane[T]) bool { return l.start <= v.virtual-maxLent/l.weight }
+
+// sweep drops the empty lanes that have become settled since they were emptied. It runs each time the number of lanes has doubled.
+func (v *level[T]) sweep() {
+	if len(v.lanes) < max(v.sweepAt, minSweep) {
+		return
+	}
+	maps.DeleteFunc(v.lanes, func(_ string, l *lane[T]) bool { return l.len() == 0 && v.isSettled(l) })
+	v.sweepAt = 2 * len(v.lanes)
+}
+
 // inTime returns how many statements can be answered in time.
 func (v *level[T]) inTime(now time.Time, serviceTime time.Duration) int {
 	n := v.waiting
--- a/core/admit/room_test.go
+++ b/core/admit/room_test.go
@@ -546,6 +546,26 @@
 	}
 }
 
+// Guards against a queue that keeps an entry for every workspace that ever waited, also for those that have got back all they have lent.
+func TestQueueForgetsWorkspaces(t *testing.T) {
+	var q Queue[int]
+	now := time.Unix(1000, 0)
+	run := func(item int, workspace string) {
+		now = now.Add(time.Millisecond)
+		q.Push(item, NewRank(0, now.Add(time.Second)).InWorkspace(workspace, 1), now)
+		if got, ok := q.Pop(now, time.Millisecond); !ok || got != item {
+			t.Fatalf("Pop returned %d, %t instead of %d", got, ok, item)
+		}
+	}
+	for i := range 10000 {
+		run(2*i, "busy")
+		run(2*i+1, fmt.Sprint("w", i))
+	}
+	if n := len(q.levels[0].lanes); n > 2*minSweep {
+		t.Errorf("%d workspaces are kept, of which none waits", n)
+	}
+}
+
 // BenchmarkQueue measures one statement that is admitted, waits and runs, while others wait.
 func BenchmarkQueue(b *testing.B) {
 	for _, waiting := range []int{10, 100, 1000, 10_000} {
