core/lead: count a restart with another size as a gap in a VM's presence

Cause: a VM that restarts within the life of its lease need not wait until all others have seen it, since the presence of its earlier process is continued by name. But holders of quotas are ordered by size. A VM that restarts larger comes before the VM that held its keys until then, which goes on by its last lists for up to 11 s (quota.ListLife), while the restarted one, taken for present all along, may begin about 0.8 s after its lease. Both then grant the tokens of the same portions. Change: continuity is passed on only between entries of the same size, and with or without an address alike; PresentSince knows nothing while entries of two sizes are left. The VM then waits as one that is new. Not run: the tests of io/elect and io/grant.

--- a/core/lead/agent.go
+++ b/core/lead/agent.go
@@ -143,6 +143,12 @@
 	return m.since, true
 }
 
+// ordersAlike reports whether two entries of a VM put it at the same place in orders of VMs by size. If they do not, a VM that was not the
+// first one for some work may have become it, so that its presence under the other entry says nothing.
+func (m Member) ordersAlike(other Member) bool {
+	return m.cores == other.cores && (m.address == "") == (other.address == "")
+}
+
 // Grants are the leases that a VM has requested from the store, for itself and for other VMs. An entry stays until its lease
 // has certainly expired, because each write replaces the whole row of entries. Grants is immutable.
 type Grants struct {
@@ -177,7 +183,7 @@
 	for _, m := range renew {
 		m.until = max(until, next[m.name].until)
 		m.since, m.provenUntil = m.until, 0
-		if c, ok := g.confirmed[m.name]; ok {
+		if c, ok := g.confirmed[m.name]; ok && c.ordersAlike(m) {
 			m.since, m.provenUntil = c.since, c.until
 		}
 		next[m.name] = m
@@ -220,9 +226,15 @@
 			m.since = storeTime
 		}
 		m.until, m.presentUntil = m.PresentUntil()-Linger, 0
-		// The VM was present at storeTime by either entry.
-		if c, ok := confirmed[m.name]; ok {
+		// The VM was present at storeTime by either entry. With entries of two sizes, it counts from now on with that of the later one.
+		switch c, ok := confirmed[m.name]; {
+		case ok && c.ordersAlike(m):
 			m.since, m.until = min(m.since, c.since), max(m.until, c.until)
+		case ok && c.until > m.until:
+			m = c
+			m.since = storeTime
+		case ok:
+			m.since = storeTime
 		}
 		confirmed[m.name] = m
 	}
@@ -230,11 +242,22 @@
 }
 
 // PresentSince returns since when the VM name has been present without a gap according to any of the entries, which were read when the
-// store's clock showed storeTime at most. It returns false if it is not known to have been present earlier.
+// store's clock showed storeTime at most. It returns false if it is not known to have been present earlier, or if entries of two sizes are
+// left.
 func PresentSince(entries []Member, name string, storeTime time.Duration) (time.Duration, bool) {
 	since, found := storeTime, false
-	for _, m := range entries {
-		if from, ok := m.ValidSince(storeTime); ok && m.name == name && from < since {
+	var first *Member
+	for i, m := range entries {
+		if m.name != name || m.PresentUntil() <= storeTime {
+			continue
+		}
+		if first == nil {
+			first = &entries[i]
+		}
+		if !m.ordersAlike(*first) {
+			return storeTime, false
+		}
+		if from, ok := m.ValidSince(storeTime); ok && from < since {
 			since, found = from, true
 		}
 	}
--- a/core/lead/present_test.go
+++ b/core/lead/present_test.go
@@ -63,3 +63,31 @@
 	g.Expect(grants.With(nil, []Member{NewMember("a", 0, 0, nil)}, 19*second, 13*second).Members()).To(gomega.BeEmpty(), "where quotas need nothing")
 	g.Expect(Merge(append(left.Members(), NewMember("a", 0, 17*second, nil)))).To(gomega.HaveLen(1))
 }
+
+// Guards against a VM that restarts with another size and is taken for present without a gap: larger VMs go first in the order of the
+// holders of quotas, so the VM that held its keys until then goes on while the restarted one begins.
+func TestOtherSizeIsAGap(t *testing.T) {
+	g := gomega.NewWithT(t)
+	renew := func(grants Grants, cores float64, at time.Duration) Grants {
+		a := NewMember("a", 0, 0, nil).WithLocation("dc", "a:1").WithCores(cores)
+		return grants.WithKept([]Member{a}, nil, at+LeaseDuration, at, Linger).Confirm([]string{"a"}, at)
+	}
+	since := func(at time.Duration, entries ...Member) any {
+		from, ok := PresentSince(entries, "a", at)
+		if !ok {
+			return "unknown"
+		}
+		return from
+	}
+	small := renew(renew(Grants{}, 1, 10*second), 1, 12*second)
+	g.Expect(since(13*second, small.Members()...)).To(gomega.Equal(10 * second))
+	large := renew(small, 8, 14*second)
+	g.Expect(since(15*second, large.Members()...)).To(gomega.Equal("unknown"))
+	large = renew(large, 8, 16*second)
+	g.Expect(since(17*second, large.Members()...)).To(gomega.Equal(14 * second))
+
+	other := renew(Grants{}.Observe(small.Members(), 13*second), 8, 14*second)
+	g.Expect(since(15*second, append(small.Members(), other.Members()...)...)).To(gomega.Equal("unknown"), "through another agent")
+	other = renew(other.Observe(small.Members(), 15*second), 8, 16*second)
+	g.Expect(since(17*second, other.Members()...)).NotTo(gomega.Equal(10 * second))
+}
