core/evict: name a workspace that uses half of the slots dominant

Cause: wording or length of lines. Change: comments, unexported names and line breaks only; no behaviour.

--- a/core/evict/evict.go
+++ b/core/evict/evict.go
@@ -179,8 +179,9 @@
 // Next returns the index of the request that is to have a connection next, and how; Wait if none may have one now. The requests are
 // those for which at returns an element, n of them in the order of their urgency.
 //
-// Of the requests of the first priority that may go on, those of workspaces that take up the server go last, so that no workspace waits
-// behind one that has all. A request that needs a new connection lets others go first that need none, but only maxPassedOver times.
+// Of the requests of the first priority that may go on, those of workspaces that dominate the server go last, so that no workspace waits
+// behind one that has all connections. A request that needs a new connection lets others go first that need none, but only maxPassedOver
+// times.
 func (c *Cache) Next(n int, at func(i int) *Request, room Room) (int, Action) {
 	var first, reuse choice
 	for i := range n {
@@ -192,10 +193,10 @@
 		if a == Wait {
 			continue
 		}
-		crowds := c.crowds(r.workspace)
-		first.offer(i, a, crowds)
+		dominates := c.dominates(r.workspace)
+		first.offer(i, a, dominates)
 		if a == Reuse {
-			reuse.offer(i, a, crowds)
+			reuse.offer(i, a, dominates)
 		}
 	}
 	if !first.found {
@@ -205,24 +206,24 @@
 		return first.i, first.action
 	}
 	for i := range n {
-		if at(i).sameClass(at(first.i)) && !c.crowds(at(i).workspace) {
+		if at(i).sameClass(at(first.i)) && !c.dominates(at(i).workspace) {
 			at(i).passed++
 		}
 	}
 	return reuse.i, Reuse
 }
 
-// choice is the first request of those that were offered, or the first one whose workspace does not take up the server.
+// choice is the first request of those that were offered, or the first one whose workspace does not dominate the server.
 type choice struct {
-	i      int
-	action Action
-	crowds bool
-	found  bool
+	i         int
+	action    Action
+	dominates bool
+	found     bool
 }
 
-func (c *choice) offer(i int, a Action, crowds bool) {
-	if !c.found || c.crowds && !crowds {
-		*c = choice{i: i, action: a, crowds: crowds, found: true}
+func (c *choice) offer(i int, a Action, dominates bool) {
+	if !c.found || c.dominates && !dominates {
+		*c = choice{i: i, action: a, dominates: dominates, found: true}
 	}
 }
 
@@ -231,8 +232,8 @@
 	return r.priority == other.priority && r.late == other.late
 }
 
-// crowds reports whether a workspace takes up the server: it uses half as many connections as there are slots.
-func (c *Cache) crowds(workspace string) bool {
+// dominates reports whether a workspace uses at least half as many connections as there are slots.
+func (c *Cache) dominates(workspace string) bool {
 	h := c.holdings[workspace]
 	return h != nil && h.inUse > 0 && h.inUse >= c.limits.starting-c.limits.starting/2
 }
--- a/core/evict/evict_test.go
+++ b/core/evict/evict_test.go
@@ -88,7 +88,7 @@
 	mostOpen int
 	waits    map[int][]time.Duration // by workspace, from the arrival to the start
 	lost     time.Duration           // slot time for opening
-	passes   map[string]int          // of requests of workspaces that take up the server, while one that uses no connection waits
+	passes   map[string]int          // of requests of workspaces that dominate the server, while one that uses no connection waits
 	mostPass int
 }
 
@@ -174,13 +174,13 @@
 }
 
 // recordPasses counts, for each workspace that uses no connection and has a statement waiting, how many statements of workspaces that
-// take up the server were granted one.
+// dominate the server were granted one.
 func (s *server) recordPasses(granted *job) {
 	seen := map[string]bool{}
 	for _, w := range s.waiting {
 		if h := s.cache.holdings[w.workspace]; (h == nil || h.inUse == 0) && w.workspace != granted.workspace && !seen[w.workspace] {
 			seen[w.workspace] = true
-			if s.cache.crowds(granted.workspace) {
+			if s.cache.dominates(granted.workspace) {
 				s.passes[w.workspace]++
 				s.mostPass = max(s.mostPass, s.passes[w.workspace])
 			}
@@ -343,7 +343,7 @@
 				t.Errorf("a statement of a small workspace waits %s, half of those of the large one %s", worst, large)
 			}
 			if s.mostPass > maxPassedOver {
-				t.Errorf("%d statements of workspaces that take up the server went ahead of a workspace without a connection", s.mostPass)
+				t.Errorf("%d statements of workspaces that dominate the server went ahead of a workspace without a connection", s.mostPass)
 			}
 		})
 	}
