core/even: describe fill as water-filling

Cause: wording or length of lines. Change: comments, unexported names and line breaks only; no behaviour. Run: go test ./core/even, gofumpt, vet, revive.

--- a/core/even/even.go
+++ b/core/even/even.go
@@ -310,7 +310,8 @@
 // minAmount is the least work that is spread, in statements. It makes candidates of equal level share alike.
 const minAmount = 1e-6
 
-// fill pours amount over the candidates, the lowest level first, until those that get something are at the same level.
+// fill distributes amount over the candidates by water-filling: the lowest levels are raised to a common one, the surface, and candidates
+// above it get nothing.
 func fill(candidates []Candidate, amount float64) {
 	amount = max(amount, minAmount)
 	order := make([]*Candidate, len(candidates))
