core/route: name a policy of a test after what it records

Cause: wording or length of lines. Change: comments, unexported names and line breaks only; no behaviour. Run: go test ./core/route, gofumpt, vet, revive.

--- a/core/route/fleet_test.go
+++ b/core/route/fleet_test.go
@@ -92,7 +92,7 @@
 	return n
 }
 
-func recordAsToday(v *trialVM, now time.Time, server int, r even.Report) {
+func recordAsServerInfo(v *trialVM, now time.Time, server int, r even.Report) {
 	v.table.RecordReport(now, work.ServerInfo{
 		Address: serverName(server), Term: 1, Applied: 1, Role: port.RoleReplica, Running: r.Load(),
 	})
@@ -103,7 +103,7 @@
 	random    = policy{name: "at random", choose: func(t *trialGroup, _ *trialVM, _ time.Time) int {
 		return t.replicas[t.random.IntN(len(t.replicas))]
 	}}
-	lastReport = policy{name: "least loaded by the last report", choose: chooseByTable, report: recordAsToday}
+	lastReport = policy{name: "least loaded by the last report", choose: chooseByTable, report: recordAsServerInfo}
 	twoChoices = policy{
 		name: "two random choices by the last report",
 		choose: func(t *trialGroup, v *trialVM, now time.Time) int {
@@ -117,7 +117,7 @@
 			id, _ := v.table.Choose(now, NewAtLeast(point.New(1, 1)), excluded)
 			return serverNumber(id)
 		},
-		report: recordAsToday,
+		report: recordAsServerInfo,
 	}
 	decayingReport = policy{
 		name: "own requests and a decaying report", choose: chooseByTable,
