--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -74,7 +74,8 @@
 		d.ScanArgs(t, "memory", &memoryMB)
 		d.ScanArgs(t, "descriptors", &descriptors)
 		l := budget.NewLimits(memoryMB<<20, descriptors)
-		return fmt.Sprintf("messages %d MB, heap %d MB, callers %d, socket buffer %d\n", l.Bytes()>>20, l.Heap()>>20, l.Callers(), l.SocketBuffer())
+		return fmt.Sprintf("messages %d MB, heap %d MB, callers %d, socket buffer %d\n",
+			l.Bytes()>>20, l.Heap()>>20, l.Callers(), l.SocketBuffer())
 	})
 }
 
