core/admit: reword the reason for the margin of usualOr

Cause: wording or length of lines. Change: comments, unexported names and line breaks only; no behaviour.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -51,8 +51,8 @@
 	return s.mean
 }
 
-// usualOr returns the time that a statement usually takes at most, or d if none has ended. It is one mean deviation above the mean. With
-// more, a slow server refused statements of which half could be answered in time, and ran less urgent ones instead.
+// usualOr returns the time that a statement usually takes at most, or d if none has ended. It is one mean deviation above the mean. With a
+// wider margin, a slow server would refuse statements of which half can be answered in time, and run less urgent ones instead.
 func (s *serviceTime) usualOr(d time.Duration) time.Duration {
 	if s.mean == 0 {
 		return d
