core/lead: wrap a long line of a test

Cause: wording or length of lines. Change: comments, unexported names and line breaks only; no behaviour.

--- a/core/lead/present_test.go
+++ b/core/lead/present_test.go
@@ -60,7 +60,8 @@
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(from).To(gomega.Equal(10 * second))
 	g.Expect(FleetOf(back.Members(), 16*second).Live()).To(gomega.HaveLen(1))
-	g.Expect(grants.With(nil, []Member{NewMember("a", 0, 0, nil)}, 19*second, 13*second).Members()).To(gomega.BeEmpty(), "where quotas need nothing")
+	unkept := grants.With(nil, []Member{NewMember("a", 0, 0, nil)}, 19*second, 13*second)
+	g.Expect(unkept.Members()).To(gomega.BeEmpty(), "where no quotas need the presence")
 	g.Expect(Merge(append(left.Members(), NewMember("a", 0, 17*second, nil)))).To(gomega.HaveLen(1))
 }
 
