core/quota: reword comments on ledgers and portions

Cause: the comment of Ledger said that a portion that goes leaves its part as usable tokens, but removePortion scales usable and used tokens down. Lines were too long, and some words figurative. Change: comments and line breaks only; the comment of Portion says that Ledger relies on rates and bursts in the same proportion.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -85,8 +85,8 @@
 	asOf  time.Time // of the last list
 }
 
-// SetLease sets since when the lease of this process has been valid without a gap, and its end. Proven is since when leases of this VM, also
-// those of an earlier process, have been valid without a gap, zero if that is not known.
+// SetLease sets since when the lease of this process has been valid without a gap, and its end. Proven is since when leases of this VM,
+// also those of an earlier process, have been valid without a gap, zero if that is not known.
 func (h *Holder) SetLease(since, until, proven time.Time) {
 	h.leaseSince, h.leaseUntil, h.provenSince = since, until, proven
 }
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -18,7 +18,7 @@
 	holdMargin = 5 * time.Millisecond
 	// MaxHold is how long after it was granted a token may still be counted as usable.
 	MaxHold = spareLife + holdMargin
-	// maxRetryDelay bounds how long a VM that was refused tokens does not ask again.
+	// maxRetryDelay bounds how long a VM that was refused tokens waits before it asks again.
 	maxRetryDelay = 250 * time.Millisecond
 	// tolerance absorbs rounding errors of sums of tokens.
 	tolerance = 1e-9
@@ -30,13 +30,14 @@
 	end time.Time
 }
 
-// Ledger is the account of a portion of a workspace at its holder, and of the portions that the holder has borrowed. A token counts as usable
-// from when it is granted until its end, and as used at its end. Used tokens are worked off at the rate of the limit. A token is granted
-// only if usable and used ones together stay within the burst. A window of length d then holds at most rate x d + burst uses, whenever the
-// tokens are used before their ends. It is not safe for concurrent use.
+// Ledger is the account of a portion of a workspace at its holder, and of the portions that the holder has borrowed. A token counts as
+// usable from when it is granted until its end, and as used at its end. Used tokens are refilled at the rate of the limit. A token is
+// granted only if usable and used ones together stay within the burst. A window of length d then holds at most rate x d + burst uses,
+// whenever the tokens are used before their ends. It is not safe for concurrent use.
 //
-// A portion that comes or goes brings or takes its part of the burst along as tokens that are usable until MaxHold later. So the sum of usable
-// and used tokens over all ledgers of a workspace falls only by the rate of the limit, and the bound holds for all ledgers together.
+// A portion that is added brings its part of the burst along as tokens that are usable until MaxHold later, and one that is removed takes
+// its part of the usable and used tokens with it. So the sum of usable and used tokens over all ledgers of a workspace falls only by the
+// rate of the limit, and the bound holds for all ledgers together.
 type Ledger struct {
 	whole   Limit // of the workspace
 	limit   Limit // of the portions that count here
@@ -62,8 +63,8 @@
 // Loans holds the loans of the portions of a shard, by portion.
 type Loans [maxPortions]Loan
 
-// NewLedger returns the ledger of a holder of a portion that took over at start. The holder before it may have granted the whole burst until
-// then.
+// NewLedger returns the ledger of a holder of a portion that took over at start. The holder before it may have granted the whole burst
+// until then.
 func NewLedger(whole Limit, portion int, start time.Time) *Ledger {
 	l := &Ledger{whole: whole, at: start}
 	if portion >= 0 && portion < maxPortions {
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -1,8 +1,8 @@
 // Package quota decides how many operations a workspace may begin, so that its limit holds over all VMs.
 //
-// The limit of a workspace is cut into a few fixed parts, the portions. Each portion is held by one VM, its holder, which has a Ledger for it.
-// A VM whose callers begin operations gets tokens for them from a holder. Tokens end soon. Since each Ledger keeps within its part, the
-// parts need no agreement with each other, and the loss of a holder costs its part only.
+// The limit of a workspace is divided into a few fixed parts, the portions. Each portion is held by one VM, its holder, which has a Ledger
+// for it. A VM whose callers begin operations gets tokens for them from a holder. Tokens expire within a second. Since each Ledger keeps
+// within its part, the holders need no agreement with each other, and the loss of a holder costs its part only.
 package quota
 
 import (
@@ -47,8 +47,9 @@
 // Portions returns the number of portions of the workspace. Each of them has a burst of at least 1.
 func (l Limit) Portions() int { return int(min(max(math.Floor(l.burst), 1), maxPortions)) }
 
-// Portion returns the part of the limit that belongs to a portion. The bursts of all portions but the first are whole numbers, and the rate is
-// divided in the same proportion. The parts add up to the limit. A portion that the workspace does not have gets nothing.
+// Portion returns the part of the limit that belongs to a portion. The bursts of all portions but the first are whole numbers, and the
+// rate is divided in the same proportion, which Ledger relies on. The parts add up to the limit. A portion that the workspace does not have
+// gets nothing.
 func (l Limit) Portion(portion int) Limit {
 	n := l.Portions()
 	if portion < 0 || portion >= n {
--- a/core/quota/loan.go
+++ b/core/quota/loan.go
@@ -10,7 +10,7 @@
 	// loanMargin is how much longer the lender counts a portion as lent than the borrower: the clocks of two VMs may run at rates that differ
 	// a little.
 	loanMargin = 10 * time.Millisecond
-	// never is longer than a process runs.
+	// never is longer than any process runs.
 	never = 100 * 365 * 24 * time.Hour
 )
 
@@ -21,7 +21,8 @@
 }
 
 // Lend lends a key to the VM that holds the key borrower, a lower portion of the same shard. It returns for how long from now on, and false
-// if this VM does not hold the key or has lent it for another one. While a key is lent, this VM does not hold it; its next term begins when the loan ends.
+// if this VM does not hold the key or has lent it for another one. While a key is lent, this VM does not hold it; its next term begins when
+// the loan ends.
 func (h *Holder) Lend(k Key, vm string, borrower Key, now time.Time) (time.Duration, bool) {
 	to := vm + " " + borrower.String()
 	_, end, ok := h.termOf(k, now)
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -148,8 +148,8 @@
 	})
 }
 
-// Guards against a portion that is granted by its holder and by a borrower at once, one that is lent to two VMs, and a new process that does
-// not know what the one before it has lent.
+// Guards against a portion that is granted by its holder and by a borrower at once, one that is lent to two VMs, and a new process that
+// does not know what the one before it has lent.
 func TestLoans(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Unix(10000, 0)
@@ -412,7 +412,8 @@
 	s.runUntil(end)
 	checkLimits(t, s)
 	g.Expect(ratio(s, from, end)).To(gomega.BeNumerically(">", 0.7))
-	t.Logf("%.3f of the central bucket in the 4 s after the cut, %.3f in the 20 s", ratio(s, from, from.Add(4*time.Second)), ratio(s, from, end))
+	t.Logf("%.3f of the central bucket in the 4 s after the cut, %.3f in the 20 s",
+		ratio(s, from, from.Add(4*time.Second)), ratio(s, from, end))
 }
 
 // Guards against holders that change although nobody joined or left, and portions of a workspace that are all held by one VM.
