core/quota: add a borrowed portion by the higher of two limits

Cause: Books.Grant set the loans before the limit. When a portion and a higher limit came with the same request, the portion's tokens were counted as granted by the old burst, although its lender, which may have had the new configuration, may just have granted the new one. Change: Ledger.Set replaces SetLoans: it ends loans, raises the limit, adds loans, lowers the limit. TestChangedLimit calls Set with the same limit in place of SetLoans and checks as much as before.

--- a/core/quota/books.go
+++ b/core/quota/books.go
@@ -44,8 +44,7 @@
 		e = &entry{ledger: NewLedger(limit, a.Portion, term), term: term}
 		b.accounts[key] = e
 	}
-	e.ledger.SetLoans(loans, now)
-	e.ledger.SetLimit(limit, now)
+	e.ledger.Set(loans, limit, now)
 	g := e.ledger.Grant(now, a.Need, a.Spare, a.Life)
 	for portion, loan := range loans {
 		if now.Before(loan.Until) {
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -87,8 +87,19 @@
 	}
 }
 
-// SetLoans sets the portions that the holder has borrowed.
-func (l *Ledger) SetLoans(loans Loans, now time.Time) {
+// Set sets the portions that the holder has borrowed and the limit of the workspace, as SetLimit does. The VM that held a new portion until
+// now may have granted its burst by either limit, so the portion is added by the higher one.
+func (l *Ledger) Set(loans Loans, whole Limit, now time.Time) {
+	l.endLoans(loans, now)
+	if whole.burst > l.whole.burst {
+		l.SetLimit(whole, now)
+	}
+	l.beginLoans(loans, now)
+	l.SetLimit(whole, now)
+}
+
+// endLoans takes over the new ends of loans, and removes the portions whose loans have ended.
+func (l *Ledger) endLoans(loans Loans, now time.Time) {
 	for portion := range l.parts {
 		if p := &l.parts[portion]; p.in && !p.loan.Since.IsZero() && p.loan.Since.Equal(loans[portion].Since) {
 			p.loan = loans[portion]
@@ -97,6 +108,10 @@
 	for portion := l.nextEnd(now); portion >= 0; portion = l.nextEnd(now) {
 		l.removePortion(portion)
 	}
+}
+
+// beginLoans adds the portions that have been borrowed.
+func (l *Ledger) beginLoans(loans Loans, now time.Time) {
 	for portion, loan := range loans {
 		if !l.parts[portion].in && now.Before(loan.Until) {
 			l.addPortion(portion, loan)
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -86,7 +86,7 @@
 	for portion := 1; portion < maxPortions; portion++ {
 		loans[portion] = Loan{now.Add(-time.Minute), now.Add(time.Minute)}
 	}
-	l.SetLoans(loans, now)
+	l.Set(loans, l.whole, now)
 	l.SetLimit(NewLimit(2, 2, 2), now)
 	g.Expect(l.Grant(now, 10, 0, time.Second).Tokens).To(gomega.Equal(2))
 	l.SetLimit(NewLimit(10, 10, 1), now)
@@ -462,3 +462,19 @@
 	g.Expect(NewAsker(restarted[0]).SetMembers(restarted)).To(gomega.HaveLen(len(Keys())))
 	g.Expect(b.SetMembers(restarted)).To(gomega.BeEmpty())
 }
+
+// Guards against a ledger that gets a borrowed portion and a higher limit at once and counts the portion's tokens by the lower one: its
+// lender may have granted the burst of the higher limit just before.
+func TestLoanAndHigherLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var b Books
+	start := time.Unix(10000, 0)
+	now := start.Add(time.Minute)
+	a := Ask{Workspace: "choir", Need: 1000, Life: maxTokenLife}
+	low, high := NewLimit(10, 10, 1), NewLimit(100, 100, 2)
+	g.Expect(b.Grant(Ask{Workspace: "choir", Need: 1}, low, start, Loans{}, now, "vm").Tokens).To(gomega.Equal(1))
+	now = now.Add(10 * time.Second)
+	var loans Loans
+	loans[1] = Loan{Since: now, Until: now.Add(loanLife)}
+	g.Expect(b.Grant(a, high, start, loans, now, "vm").Tokens).To(gomega.BeNumerically("<=", high.Portion(mainPortion).Burst()))
+}
