--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -86,7 +86,7 @@
 	for portion := 1; portion < maxPortions; portion++ {
 		loans[portion] = Loan{now.Add(-time.Minute), now.Add(time.Minute)}
 	}
-	l.SetLoans(loans, now)
+	l.Set(loans, l.whole, now)
 	l.SetLimit(NewLimit(2, 2, 2), now)
 	g.Expect(l.Grant(now, 10, 0, time.Second).Tokens).To(gomega.Equal(2))
 	l.SetLimit(NewLimit(10, 10, 1), now)
@@ -148,8 +148,8 @@
 	})
 }
 
-// Guards against a portion that is granted by its holder and by a borrower at once, one that is lent to two VMs, and a new process that does
-// not know what the one before it has lent.
+// Guards against a portion that is granted by its holder and by a borrower at once, one that is lent to two VMs, and a new process that
+// does not know what the one before it has lent.
 func TestLoans(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Unix(10000, 0)
@@ -412,7 +412,8 @@
 	s.runUntil(end)
 	checkLimits(t, s)
 	g.Expect(ratio(s, from, end)).To(gomega.BeNumerically(">", 0.7))
-	t.Logf("%.3f of the central bucket in the 4 s after the cut, %.3f in the 20 s", ratio(s, from, from.Add(4*time.Second)), ratio(s, from, end))
+	t.Logf("%.3f of the central bucket in the 4 s after the cut, %.3f in the 20 s",
+		ratio(s, from, from.Add(4*time.Second)), ratio(s, from, end))
 }
 
 // Guards against holders that change although nobody joined or left, and portions of a workspace that are all held by one VM.
@@ -447,3 +448,33 @@
 	g.Expect(several).To(gomega.BeNumerically(">=", shards*3/4))
 	g.Expect(math.Abs(float64(len(Keys()) - shards*maxPortions))).To(gomega.BeZero())
 }
+
+// Guards against a VM that restarts with another size under the same name and address, and that the other VMs rank by its old size: two VMs
+// would hold the same keys for as long as both live.
+func TestRestartWithOtherSize(t *testing.T) {
+	g := gomega.NewWithT(t)
+	member := func(name string, cores float64) lead.Member {
+		return lead.NewMember(name, 0, 0, nil).WithLocation("dc-0", name+":1").WithCores(cores)
+	}
+	b := NewAsker(member("b", 2))
+	g.Expect(b.SetMembers([]lead.Member{member("a", 1), member("b", 2)})).To(gomega.HaveLen(len(Keys())))
+	restarted := []lead.Member{member("a", 4), member("b", 2)}
+	g.Expect(NewAsker(restarted[0]).SetMembers(restarted)).To(gomega.HaveLen(len(Keys())))
+	g.Expect(b.SetMembers(restarted)).To(gomega.BeEmpty())
+}
+
+// Guards against a ledger that gets a borrowed portion and a higher limit at once and counts the portion's tokens by the lower one: its
+// lender may have granted the burst of the higher limit just before.
+func TestLoanAndHigherLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var b Books
+	start := time.Unix(10000, 0)
+	now := start.Add(time.Minute)
+	a := Ask{Workspace: "choir", Need: 1000, Life: maxTokenLife}
+	low, high := NewLimit(10, 10, 1), NewLimit(100, 100, 2)
+	g.Expect(b.Grant(Ask{Workspace: "choir", Need: 1}, low, start, Loans{}, now, "vm").Tokens).To(gomega.Equal(1))
+	now = now.Add(10 * time.Second)
+	var loans Loans
+	loans[1] = Loan{Since: now, Until: now.Add(loanLife)}
+	g.Expect(b.Grant(a, high, start, loans, now, "vm").Tokens).To(gomega.BeNumerically("<=", high.Portion(mainPortion).Burst()))
+}
