--- a/io/edge/calls_test.go
+++ b/io/edge/calls_test.go
@@ -12,7 +12,6 @@
 
 	"verbenagate/core/port"
 	"verbenagate/io/edge"
-	"verbenagate/io/watch"
 	"verbenagate/platform"
 )
 
@@ -155,15 +154,7 @@
 	}
 	store := platform.NewStore(s.store.Addr(), s.store.Addr())
 	c.RowStore = store
-	vm, err := edge.Start(settings, edge.Adapters{
-		Rows: c, Orders: store, Dialer: platform.NewDialer(name),
-		Source: watch.Source{
-			ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, ServerTable: platform.ServerTable,
-			ParseConfig: platform.ParseConfig, ParseServer: platform.ParseServer,
-		},
-		Wrap:      s.wrap,
-		ReadyPath: platform.ReadyPath,
-	}, out)
+	vm, err := edge.Start(settings, s.adapters(name, c, store), out)
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"verbenagate/core/port"
 	"verbenagate/io/edge"
 	"verbenagate/io/elect"
 	"verbenagate/io/entry"
@@ -53,20 +54,18 @@
 // their own writes or read data that is too old, writes that are repeated, lost or reported with the wrong outcome, session state
 // that leaks between callers, and changes of the primary or the configuration that do not take effect.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "_fixtures", func(t *testing.T, path string) {
-		s := newDeployment(t)
-		defer s.close()
-		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			s.t = t
-			return s.command(d)
-		})
-	})
+	runScripts(t, "_fixtures")
 }
 
 // TestKeys runs the scripts in _keys, of deployments that admit callers by key. It guards against callers that are served without a valid
 // key, or for a workspace that is not theirs.
 func TestKeys(t *testing.T) {
-	datadriven.Walk(t, "_keys", func(t *testing.T, path string) {
+	runScripts(t, "_keys")
+}
+
+// runScripts runs each script in a directory against a deployment of its own.
+func runScripts(t *testing.T, directory string) {
+	datadriven.Walk(t, directory, func(t *testing.T, path string) {
 		s := newDeployment(t)
 		defer s.close()
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
@@ -188,20 +187,25 @@
 		}
 	}
 	store := platform.NewStore(s.store.Addr(), s.store.Addr())
-	vm, err := edge.Start(settings, edge.Adapters{
-		Rows: store, Orders: store, Dialer: platform.NewDialer(name),
+	vm, err := edge.Start(settings, s.adapters(name, store, store), out)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.vms[name], s.callers[name] = vm, callers
+	return vm
+}
+
+// adapters returns the adapters of a VM that reads and writes rows through r.
+func (s *deployment) adapters(vm string, r port.RowStore, store *platform.Store) edge.Adapters {
+	return edge.Adapters{
+		Rows: r, Orders: store, Dialer: platform.NewDialer(vm),
 		Source: watch.Source{
 			ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, ServerTable: platform.ServerTable,
 			ParseConfig: platform.ParseConfig, ParseServer: platform.ParseServer,
 		},
 		Wrap:      s.wrap,
 		ReadyPath: platform.ReadyPath,
-	}, out)
-	if err != nil {
-		s.t.Fatal(err)
 	}
-	s.vms[name], s.callers[name] = vm, callers
-	return vm
 }
 
 // usablePrimary returns the server that the VM may use as the primary.
