--- a/io/bounds/bounds.go
+++ b/io/bounds/bounds.go
@@ -68,8 +68,9 @@
 	return a.account.Used()
 }
 
-// Open returns the holding of a connection, which name tells from others in the state dump. Evict closes the connection; it is called at most once, with the reason, from any goroutine.
-// A holding without it is never closed for others. The connection must call Close at its end.
+// Open returns the holding of a connection, which name tells from others in the state dump. Evict closes the connection; it is called at
+// most once, with the reason, from any goroutine. Connections without it are never closed to make room for others. The connection must
+// call Close at its end.
 func (a *Account) Open(name string, evict func(reason string)) *Holding {
 	h := &Holding{account: a, name: name, evict: evict}
 	h.holder = budget.NewHolder(h)
--- a/io/entry/bounds.go
+++ b/io/entry/bounds.go
@@ -234,7 +234,8 @@
 	return c.Conn.SendReady(state)
 }
 
-// SendAnswer implements Conn. A long answer is counted until the caller has read it. The connection is closed if there is no room for it.
+// SendAnswer implements Conn. A long answer is counted until it has been written to the connection, which is closed if there is no room
+// for the answer.
 func (c *boundedConn) SendAnswer(rows []string, signature string, state query.State) error {
 	defer c.holding.Settle()
 	size := 0
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -203,7 +203,8 @@
 	}
 }
 
-// admitCaller returns the route of a database and the workspace of the caller, or why the configuration does not admit a caller with this key.
+// admitCaller returns the route of a database and the workspace of the caller, or why the configuration does not admit a caller with this
+// key.
 func admitCaller(config layout.Config, database, key string) (layout.Route, layout.Workspace, error) {
 	r, ok := config.Route(database)
 	if !ok {
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -183,8 +183,8 @@
 	ss.entry.deps.Metrics.Counter(Statements, name).Inc(1)
 	ss.entry.deps.Metrics.Histogram(StatementSeconds).Observe(took.Seconds())
 	ss.entry.deps.Log.Event(event.StatementDone, zap.String("id", clip(id)), zap.String("database", ss.database),
-		zap.String("workspace", ss.workspace), zap.String("result", name), zap.String("message", clip(a.message)), zap.String("server", a.server),
-		zap.String("owner", a.owner), zap.Int("tries", a.tries), zap.Duration("took", took), zap.String("state", ss.state.String()),
+		zap.String("workspace", ss.workspace), zap.String("result", name), zap.String("message", clip(a.message)),
+		zap.String("server", a.server), zap.String("owner", a.owner), zap.Int("tries", a.tries), zap.Duration("took", took), zap.String("state", ss.state.String()),
 		zap.Uint64("config", ss.entry.deps.View().Config().Version()), zap.Uint64("leader", a.leaderVersion),
 		zap.String("required", ss.required.String()))
 }
--- a/io/grant/grant_test.go
+++ b/io/grant/grant_test.go
@@ -151,7 +151,8 @@
 func TestAlone(t *testing.T) {
 	g := gomega.NewWithT(t)
 	w := layout.NewWorkspace("w", 0, 100, 8)
-	d := New(t.Context(), lead.NewMember("a", 0, 0, nil), link.NewClients(t.Context(), time.Now), nil, configOf(1, w), testMetrics(), time.Now, logs.Nop())
+	clients := link.NewClients(t.Context(), time.Now)
+	d := New(t.Context(), lead.NewMember("a", 0, 0, nil), clients, nil, configOf(1, w), testMetrics(), time.Now, logs.Nop())
 	time.Sleep(time.Second)
 	now := time.Now()
 	for range 8 {
--- a/io/grant/hold.go
+++ b/io/grant/hold.go
@@ -36,17 +36,17 @@
 
 // refusalLog sums up the refusals of a workspace since the last sweep.
 type refusalLog struct {
-	limit    quota.Limit
-	overdue  int // over the limit
-	unserved int // no holder answered
+	limit     quota.Limit
+	overLimit int
+	noHolder  int // no holder answered
 }
 
 func (r *refusalLog) add(limit quota.Limit, why reason) {
 	r.limit = limit
 	if why == reasonSilent {
-		r.unserved++
+		r.noHolder++
 	} else {
-		r.overdue++
+		r.overLimit++
 	}
 }
 
@@ -194,8 +194,8 @@
 	d.mu.Unlock()
 	for workspace, r := range refusals {
 		d.log.Event(event.QuotaRefused, zap.String("workspace", workspace), zap.Float64("rate", r.limit.Rate()),
-			zap.Float64("burst", r.limit.Burst()), zap.Uint64("config", r.limit.Version()), zap.Int("over_limit", r.overdue),
-			zap.Int("no_holder", r.unserved))
+			zap.Float64("burst", r.limit.Burst()), zap.Uint64("config", r.limit.Version()), zap.Int("over_limit", r.overLimit),
+			zap.Int("no_holder", r.noHolder))
 	}
 	if dropped > 0 {
 		d.log.Event(event.QuotaRefused, zap.Int("others", dropped))
--- a/io/grant/line.go
+++ b/io/grant/line.go
@@ -32,7 +32,7 @@
 	done      chan outcome
 }
 
-// line collects the requests to one VM.
+// line collects the requests to one VM. It is guarded by Desk.mu.
 type line struct {
 	pending   []*waiter
 	scheduled bool
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -44,8 +44,9 @@
 	// serverFullBackoff is how long Acquire opens no connection after the server refused one because it has too many or is
 	// overloaded.
 	serverFullBackoff = 150 * time.Millisecond
-	// ownerSettleTime is how long a VM has been the owner of a server before it counts on being the only one, if the server does not say
-	// so. It is twice the interval at which a VM reads the list of VMs if nothing calls for it sooner.
+	// ownerSettleTime is how long a VM has been the owner of a server before it assumes that it is the only one, if the server's status
+	// does not show it earlier. It is longer than it takes all VMs to learn of the new owner: io/elect reads the list of VMs about every
+	// 3 s at the latest, and accepts one that is 4 s old.
 	ownerSettleTime = 10 * time.Second
 )
 
@@ -244,7 +245,7 @@
 	dialBlockedUntil time.Time  // until then Acquire opens no connection
 	room             evict.Room // what the server accepts until dialBlockedUntil
 	closed           bool
-	lastDialRefused  bool // the server's machine refused the last dial with ECONNREFUSED
+	lastDialRefused  bool // the server's host refused the last dial with ECONNREFUSED
 	lastDialFailed   bool
 	settledAt        time.Time // when the owner of the server may open limits.settled connections
 	opened           int64     // connections since the start of the pool
@@ -344,7 +345,7 @@
 	place := p.connWaiters.Place(rank, now, p.gate.ServiceTime())
 	p.connWaiters.Push(w, rank, now)
 	p.grantConns(now)
-	// Where connections belong to workspaces, a request may also wait for statements ahead of it to run, which was judged above.
+	// Where connections belong to workspaces, a request may also wait for statements ahead of it to run; checkSlots has checked that wait.
 	waitsForConn := len(w.granted) == 0 && (!p.limits.workspaces || p.conns.Exhausted())
 	if waitsForConn && !p.gate.AdmitsPlaceForConn(place, p.limits.maxOpen, request.AnswerWithin) {
 		p.connWaiters.Remove(w)
@@ -727,7 +728,7 @@
 	p.counts.opened.Add(1)
 }
 
-// LastDialRefused reports whether the server's machine refused the last connection, which means that the server process is not
+// LastDialRefused reports whether the server's host refused the last connection, which means that the server process is not
 // running.
 func (p *Pool) LastDialRefused() bool {
 	p.mu.Lock()
--- a/lab/suite/suite.go
+++ b/lab/suite/suite.go
@@ -81,8 +81,8 @@
 	return strings.Fields(string(out)), nil
 }
 
-// runUnlisted runs the unlisted tests. Those of packages in o.Alone run last. Each package with listed tests gets a separate go test, because -skip would also leave out
-// tests of the same name in other packages.
+// runUnlisted runs the unlisted tests. Those of packages in o.Alone run last. Each package with listed tests gets a separate go test,
+// because -skip would also leave out tests of the same name in other packages.
 func (o Options) runUnlisted(ctx context.Context, r *results, pkgs []string, list []Entry) error {
 	withListed := listedPackages(list)
 	var withoutListed []string
