io/entry: end a session that was closed for another caller

Cause: makeRoom closes an idle session by a read deadline in the past and no longer counts its connection. If a request of the session arrived at the same moment, startWaiting cleared the deadline after the answer, so the session went on without being counted, and the VM could have more connections than its limit. Change: makeRoom marks the connection, and SetReadDeadline does not clear the deadline of a marked one. The request is still answered, and the session ends when it is next idle.

--- a/io/entry/bounds.go
+++ b/io/entry/bounds.go
@@ -99,6 +99,7 @@
 	session atomic.Pointer[session] // nil until the session has started
 	served  atomic.Bool             // a server has answered a request of the session
 	evicted atomic.Bool             // it was closed to make room, and counted
+	closing atomic.Bool             // its session ends when it is next idle, since another caller has its place
 }
 
 // admit registers a new connection. If there are too many, it closes one that may be closed for it, or refuses the new one.
@@ -157,6 +158,7 @@
 		if c.session.Load() == nil {
 			_ = c.Conn.Close()
 		} else {
+			c.closing.Store(true)
 			_ = c.SetReadDeadline(time.Unix(1, 0)) // A request that arrives now is still answered.
 		}
 		return true
@@ -197,6 +199,15 @@
 		zap.Int("others", others), zap.Int64("bytes", s.deps.Bounds.Account.Used()))
 }
 
+// SetReadDeadline implements Conn. While the session is to end, no deadline means that it has passed, so that the session does not wait for
+// another request.
+func (c *boundedConn) SetReadDeadline(t time.Time) error {
+	if err := c.Conn.SetReadDeadline(t); err != nil || !t.IsZero() || !c.closing.Load() {
+		return err
+	}
+	return c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
 // noteReadError logs an error that says that a message was refused.
 func (c *boundedConn) noteReadError(err error) {
 	if c.evicted.Load() {
--- a/io/entry/serve_test.go
+++ b/io/entry/serve_test.go
@@ -2,8 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
+
+	"verbenagate/core/budget"
+	"verbenagate/io/bounds"
+	"verbenagate/io/logs"
+	"verbenagate/io/metric"
 )
 
 // Guards against a read that is refused although it was sent back by a server whose queue would have taken it.
@@ -16,3 +22,34 @@
 	tried.add("s2")
 	g.Expect(tried.all()).To(gomega.Equal([]string{"s2"}))
 }
+
+// deadlineConn is a Conn that records its read deadline.
+type deadlineConn struct {
+	Conn
+	deadline time.Time
+}
+
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+// Guards against a session that goes on uncounted after it was closed for a new caller: a request that arrived at the same moment cleared
+// the read deadline again, and the VM had more connections than its limit.
+func TestSessionClosedForAnotherCallerEnds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &Server{deps: Dependencies{Metrics: metric.NewSet(Catalog(metric.NewRegistry()), metric.ReportInterval), Log: logs.Nop()}}
+	s.deps.Bounds.Account = bounds.NewAccount(0)
+	conn := &deadlineConn{}
+	now := time.Now()
+	c := &boundedConn{Conn: conn, entry: s, opened: now.Add(-budget.IdlePatience)}
+	ss := newSession(s, c, "ledger", "")
+	c.session.Store(ss)
+	ss.startWaiting()
+	g.Expect(conn.deadline.IsZero()).To(gomega.BeTrue())
+	s.callers.open = map[*boundedConn]struct{}{c: {}}
+	g.Expect(s.makeRoom(now)).To(gomega.BeTrue())
+	ss.startWaiting() // after the request
+	g.Expect(conn.deadline).To(gomega.BeTemporally("<", now))
+	g.Expect(conn.deadline.IsZero()).To(gomega.BeFalse())
+}
