io/grant: end the wait of operations whose call for tokens panics

Cause: operations that share a call for tokens wait for its outcome without a time limit of their own. A panic over the call left all of them but one waiting for ever, and ended the process if a timer had started the call. Change: flush recovers the panic, logs it and refuses the operations, of which nothing has run. Locks of wallets are released by defer, so that a panic does not leave one locked.

--- a/io/grant/grant_test.go
+++ b/io/grant/grant_test.go
@@ -163,6 +163,26 @@
 	g.Expect(accounts[0].Burst).To(gomega.Equal(8.0))
 }
 
+// Guards against a panic over one call for tokens that leaves the operations waiting which share the call, or ends the process.
+func TestPanicOverCallEndsWaiting(t *testing.T) {
+	g := gomega.NewWithT(t)
+	panicking := func() layout.Config { panic("no configuration") }
+	d := &Desk{self: lead.NewMember("a", 0, 0, nil), config: panicking, clock: time.Now, log: logs.Nop()}
+	for i := range d.wallets {
+		d.wallets[i].wallets = make(map[string]*quota.Wallet)
+	}
+	limit := quota.NewLimit(10, 10, 1)
+	l := &line{pending: []*waiter{
+		{workspace: "north", limit: limit, done: make(chan outcome, 1)},
+		{workspace: "north", limit: limit, done: make(chan outcome, 1)},
+	}}
+	waiting := l.pending
+	g.Expect(func() { d.flush("", l) }).NotTo(gomega.Panic())
+	for _, w := range waiting {
+		g.Expect(w.done).To(gomega.Receive(gomega.Equal(outcome{kind: failed})))
+	}
+}
+
 // Guards against messages that grow; docs/CAPACITY.md has the figures.
 func TestMessageSizes(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/io/grant/line.go
+++ b/io/grant/line.go
@@ -7,6 +7,7 @@
 	"verbenagate/core/quota"
 	"verbenagate/core/result"
 	"verbenagate/io/link"
+	"verbenagate/io/logs"
 )
 
 // outcome is what became of an operation's request for a token.
@@ -22,6 +23,7 @@
 	refused
 	notHolding
 	noReply
+	failed // the call panicked
 )
 
 // waiter is an operation that waits for a token.
@@ -76,6 +78,12 @@
 	l.pending, l.scheduled, l.lastCall = nil, false, sent
 	life := l.replies.Life()
 	d.mu.Unlock()
+	defer func() {
+		if p := recover(); p != nil {
+			logs.Panic(d.log, "call for tokens", p)
+			abandon(pending)
+		}
+	}()
 	q, groups := d.newCall(pending, life, sent)
 	if address == d.self.Address() {
 		d.settle(address, groups, d.grant(q), sent)
@@ -128,10 +136,7 @@
 		groups[i] = append(groups[i], w)
 	}
 	for i := range q.Asks {
-		ws := &d.wallets[lockShard(q.Asks[i].Workspace)]
-		ws.mu.Lock()
-		q.Asks[i].Spare = ws.wallet(q.Asks[i].Workspace).Spare(now)
-		ws.mu.Unlock()
+		q.Asks[i].Spare = d.wallets[lockShard(q.Asks[i].Workspace)].spare(q.Asks[i].Workspace, now)
 	}
 	return q, groups
 }
@@ -149,12 +154,7 @@
 			continue
 		}
 		n := min(max(a.Tokens, 0), len(group))
-		ws := &d.wallets[lockShard(first.workspace)]
-		ws.mu.Lock()
-		w := ws.wallet(first.workspace)
-		w.Add(min(a.Spare, maxTokens), sent.Add(a.SpareLife))
-		w.RecordRefusal(first.portion, quota.Grant{Retry: a.Retry, Borrowed: a.Borrowed}, now)
-		ws.mu.Unlock()
+		d.wallets[lockShard(first.workspace)].record(first, a, sent, now)
 		finish(group[:n], outcome{kind: granted, end: sent.Add(a.Life)})
 		finish(group[n:], outcome{kind: refused})
 	}
@@ -165,3 +165,29 @@
 		w.done <- o
 	}
 }
+
+// abandon ends the wait of the operations that have no outcome yet, after a panic.
+func abandon(pending []*waiter) {
+	for _, w := range pending {
+		select {
+		case w.done <- outcome{kind: failed}:
+		default:
+		}
+	}
+}
+
+// spare returns how many spare tokens a workspace needs.
+func (ws *walletShard) spare(workspace string, now time.Time) int {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	return ws.wallet(workspace).Spare(now)
+}
+
+// record records the spare tokens and the refusal in the answer to a call that was sent at sent. First is one of the requests.
+func (ws *walletShard) record(first *waiter, a answer, sent, now time.Time) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	w := ws.wallet(first.workspace)
+	w.Add(min(a.Spare, maxTokens), sent.Add(a.SpareLife))
+	w.RecordRefusal(first.portion, quota.Grant{Retry: a.Retry, Borrowed: a.Borrowed}, now)
+}
