--- a/io/grant/grant_test.go
+++ b/io/grant/grant_test.go
@@ -151,7 +151,8 @@
 func TestAlone(t *testing.T) {
 	g := gomega.NewWithT(t)
 	w := layout.NewWorkspace("w", 0, 100, 8)
-	d := New(t.Context(), lead.NewMember("a", 0, 0, nil), link.NewClients(t.Context(), time.Now), nil, configOf(1, w), testMetrics(), time.Now, logs.Nop())
+	clients := link.NewClients(t.Context(), time.Now)
+	d := New(t.Context(), lead.NewMember("a", 0, 0, nil), clients, nil, configOf(1, w), testMetrics(), time.Now, logs.Nop())
 	time.Sleep(time.Second)
 	now := time.Now()
 	for range 8 {
@@ -162,6 +163,39 @@
 	g.Expect(accounts[0].Burst).To(gomega.Equal(8.0))
 }
 
+// Guards against a panic over one call for tokens that leaves the operations waiting which share the call, or ends the process.
+func TestPanicOverCallEndsWaiting(t *testing.T) {
+	g := gomega.NewWithT(t)
+	panicking := func() layout.Config { panic("no configuration") }
+	d := &Desk{self: lead.NewMember("a", 0, 0, nil), config: panicking, clock: time.Now, log: logs.Nop()}
+	for i := range d.wallets {
+		d.wallets[i].wallets = make(map[string]*quota.Wallet)
+	}
+	limit := quota.NewLimit(10, 10, 1)
+	l := &line{pending: []*waiter{
+		{workspace: "north", limit: limit, done: make(chan outcome, 1)},
+		{workspace: "north", limit: limit, done: make(chan outcome, 1)},
+	}}
+	waiting := l.pending
+	g.Expect(func() { d.flush("", l) }).NotTo(gomega.Panic())
+	for _, w := range waiting {
+		g.Expect(w.done).To(gomega.Receive(gomega.Equal(outcome{kind: failed})))
+	}
+}
+
+// Guards against state that is kept for each VM that was ever asked, and against dropping that of a VM for which operations wait.
+func TestUnusedLinesAreDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	self, now := lead.NewMember("a", 0, 0, nil), time.Now()
+	d := &Desk{self: self, config: func() layout.Config { return layout.Config{} }, clock: func() time.Time { return now }, log: logs.Nop()}
+	d.asker = quota.NewAsker(self)
+	long := now.Add(-2 * maxLineIdle)
+	d.lines = map[string]*line{"unused": {lastCall: long}, "used": {lastCall: now}, "waiting": {lastCall: long, scheduled: true}}
+	d.sweep()
+	g.Expect(d.lines).To(gomega.HaveLen(2))
+	g.Expect(d.lines).NotTo(gomega.HaveKey("unused"))
+}
+
 // Guards against messages that grow; docs/CAPACITY.md has the figures.
 func TestMessageSizes(t *testing.T) {
 	g := gomega.NewWithT(t)
