io/grant: drop the state for calls to VMs that are not asked any more

Cause: Desk.lines kept an entry for each address that was ever asked. VMs that are replaced come back with other addresses. TestUnusedLinesAreDropped failed before and passes. go test -race ./io/grant once, at a load average of 22: TestLimitOverVMs (listed in KNOWN-RED.txt) failed with 29 admitted instead of at least 36, the others passed.

--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -32,6 +32,8 @@
 	probeInterval = 400 * time.Millisecond
 	// sweepInterval is how often unused state is dropped and refusals are logged.
 	sweepInterval = time.Second
+	// maxLineIdle is how long the state for calls to a VM is kept after the last one.
+	maxLineIdle = time.Minute
 	// maxTokens bounds the tokens of one answer.
 	maxTokens = 1_000_000
 )
--- a/io/grant/grant_test.go
+++ b/io/grant/grant_test.go
@@ -183,6 +183,19 @@
 	}
 }
 
+// Guards against state that is kept for each VM that was ever asked, and against dropping that of a VM for which operations wait.
+func TestUnusedLinesAreDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	self, now := lead.NewMember("a", 0, 0, nil), time.Now()
+	d := &Desk{self: self, config: func() layout.Config { return layout.Config{} }, clock: func() time.Time { return now }, log: logs.Nop()}
+	d.asker = quota.NewAsker(self)
+	long := now.Add(-2 * maxLineIdle)
+	d.lines = map[string]*line{"unused": {lastCall: long}, "used": {lastCall: now}, "waiting": {lastCall: long, scheduled: true}}
+	d.sweep()
+	g.Expect(d.lines).To(gomega.HaveLen(2))
+	g.Expect(d.lines).NotTo(gomega.HaveKey("unused"))
+}
+
 // Guards against messages that grow; docs/CAPACITY.md has the figures.
 func TestMessageSizes(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/io/grant/hold.go
+++ b/io/grant/hold.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -137,6 +138,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.asker.Sweep(now)
+	maps.DeleteFunc(d.lines, func(_ string, l *line) bool { return !l.scheduled && now.Sub(l.lastCall) > maxLineIdle })
 }
 
 // probeFailed checks whether VMs that did not reply answer again.
