io/edge, lab/flood: reword comments of tests

Change: comments, log lines of TestStoreCalls and the unexported name of one constant; no check changes. The tests of lab/flood and TestStoreCalls were compiled, not run.

--- a/io/edge/calls_test.go
+++ b/io/edge/calls_test.go
@@ -17,7 +17,7 @@
 
 var callsVMs = flag.Int("calls.vms", 0, "VMs of TestStoreCalls, in place of its own sizes")
 
-var callsFor = flag.Duration("calls.for", 8*time.Second, "calm time of TestStoreCalls")
+var callsFor = flag.Duration("calls.for", 8*time.Second, "time without changes in TestStoreCalls")
 
 // callCounter counts the calls of one VM to the store by kind.
 type callCounter struct {
@@ -76,8 +76,8 @@
 	return byKind, sum, most
 }
 
-// Guards against calls to the store on calm days that grow with the number of VMs: the platform prices each call, and a store serves
-// a limited number of them. The servers write their entries once a second meanwhile.
+// Guards against calls to the store that grow with the number of VMs while nothing changes: the platform prices each call, and a store
+// serves a limited number of them. The servers write their entries once a second meanwhile.
 func TestStoreCalls(t *testing.T) {
 	const dataCentres = 3
 	sizes := []int{9, 30}
@@ -114,14 +114,14 @@
 		t.Logf("%d VMs, start: %d calls, %d of the busiest VM, %v", n, sum, most, byKind)
 		var perSecond float64
 		// On a busy machine an agent may answer too late, and another one makes calls for some seconds.
-		for range calmAttempts {
+		for range countAttempts {
 			time.Sleep(*callsFor)
 			byKind, sum, most = callsByKind(counters)
 			if perSecond = float64(sum) / callsFor.Seconds(); perSecond <= maxCallsPerDataCentre*dataCentres {
 				break
 			}
 		}
-		t.Logf("%d VMs, calm: %.2f calls/s, %.2f of the busiest VM", n, perSecond, float64(most)/callsFor.Seconds())
+		t.Logf("%d VMs, no changes: %.2f calls/s, %.2f of the busiest VM", n, perSecond, float64(most)/callsFor.Seconds())
 		for kind, calls := range byKind {
 			t.Logf("%d VMs, %s: %.2f/s", n, kind, float64(calls)/callsFor.Seconds())
 		}
@@ -137,8 +137,8 @@
 // maxCallsPerDataCentre bounds the calls a second of an agent while nothing changes but the entries of the servers.
 const maxCallsPerDataCentre = 3
 
-// calmAttempts is how often TestStoreCalls counts until the calls are few enough.
-const calmAttempts = 3
+// countAttempts is how often TestStoreCalls counts until the calls are few enough.
+const countAttempts = 3
 
 // launchCountedVM starts one of n VMs whose calls to the store c counts.
 func (s *deployment) launchCountedVM(name, dataCentre string, n int, c *callCounter) {
--- a/lab/flood/flood_test.go
+++ b/lab/flood/flood_test.go
@@ -30,9 +30,9 @@
 
 var program = sync.OnceValues(func() (string, error) { return build() })
 
-// play starts a deployment, opens an ordinary session, and runs f, which plays the crowd. Then the process must live, must have kept
-// its bounds, and must answer a request of the ordinary session (opened anew if it was closed, as callers do) and one of a new session,
-// while the connections that f has left open are still there.
+// play starts a deployment, opens an ordinary session, and runs f, which acts as many callers at once. Then the process must still run,
+// must have kept its bounds, and must answer a request of the ordinary session (opened anew if it was closed, as callers do) and one of a
+// new session, while the connections that f has left open are still there.
 func play(t *testing.T, f func(s *Site)) {
 	g := gomega.NewWithT(t)
 	path, err := program()
@@ -196,7 +196,7 @@
 		})
 		start := "START " + database + " "
 		start += strings.Repeat("u", maxMessage-len(start)-2) + "\r\n"
-		for i := range callers { // One after the other, so that each is served in calm.
+		for i := range callers { // One after the other, so that each is served while no other is.
 			c, err := s.connect()
 			if err != nil {
 				continue
@@ -273,7 +273,7 @@
 	}
 }
 
-// Guards against running out of memory by a crowd that sends its messages very slowly.
+// Guards against running out of memory by many callers that send their messages very slowly.
 func TestSlowSenders(t *testing.T) {
 	play(t, func(s *Site) {
 		callers := s.sessions(crowd)
@@ -286,7 +286,7 @@
 	})
 }
 
-// Guards against running out of memory by a crowd that reads its answers very slowly.
+// Guards against running out of memory by many callers that read their answers very slowly.
 func TestSlowReaders(t *testing.T) {
 	play(t, func(s *Site) {
 		callers := s.sessions(crowd)
@@ -299,7 +299,7 @@
 	})
 }
 
-// Guards against running out of memory by a crowd that stops half-way: in the message that opens the session, in a request, and in a
+// Guards against running out of memory by many callers that stop half-way: in the message that opens the session, in a request, and in a
 // request of a transaction.
 func TestCrowdStopsHalfWay(t *testing.T) {
 	for name, f := range map[string]func(s *Site) *caller{
@@ -354,7 +354,7 @@
 func TestTooManySessions(t *testing.T) {
 	play(t, func(s *Site) {
 		callers := s.sessions(3 * crowd)
-		time.Sleep(2 * time.Second) // until statements of callers that left before the crowd came have ended
+		time.Sleep(2 * time.Second) // until the statements of callers that have disconnected have ended
 		callers = append(callers, s.sessions(crowd/10)...)
 		t.Cleanup(func() { closeAll(callers) })
 	})
