core/drain, io/entry, io/remote: refuse statements of transactions after half of the grace period

Cause: after half of the grace period, a check every 20 ms closed sessions that it found idle in a transaction. Callers with short pauses are never found so, the arrival of a statement did not look at the stop, and Close closed connections whatever ran on them. Class: the owner of a server ran statements of other VMs' transactions until its process ended; a statement that was still waiting for a server at the end was cut without an answer. Both are mended here. Change: core/drain holds the times of a stop as one plan within the grace period. After its half, an open transaction accepts only COMMIT and ROLLBACK; other statements get ABORTED and are not sent. A session is kept 0.5 s for that request. Waits for a server end 0.1 s before the connections are closed, and a caller whose statement still runs then is told that its outcome is unknown (event 1102). Why it works: at the close, only statements that were sent in the first half can still run.

--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -72,6 +72,7 @@
 	AdminCall          ID = 1000
 	DrainPhase         ID = 1100
 	DrainTimeout       ID = 1101
+	StatementCut       ID = 1102
 	InvariantViolated  ID = 1200
 )
 
@@ -146,5 +147,6 @@
 	{AdminCall, LayerAdmin, "operator call", "None."},
 	{DrainPhase, LayerDrain, "graceful shutdown phase", "None."},
 	{DrainTimeout, LayerDrain, "graceful shutdown reached its time limit", "Check the work that is listed as still running."},
+	{StatementCut, LayerDrain, "statement still ran when the VM ended; its caller was told that the outcome is unknown", "Compare the timeout of the route with the grace period."},
 	{InvariantViolated, LayerInvariant, "invariant violated", "Report a bug with the state dump."},
 }
--- a/core/event/level.go
+++ b/core/event/level.go
@@ -70,6 +70,7 @@
 	StoreDown:         LevelWarn,
 	StoreAnswerLost:   LevelWarn,
 	DrainTimeout:      LevelWarn,
+	StatementCut:      LevelWarn,
 	InvariantViolated: LevelError,
 }
 
--- a/core/exec/exec.go
+++ b/core/exec/exec.go
@@ -25,6 +25,7 @@
 type Run struct {
 	id, text string
 	after    point.Point
+	commits  bool
 }
 
 // Execute runs a prepared statement for a caller, under the statement's name on this connection.
@@ -73,6 +74,12 @@
 // NewRun returns the request to run a caller's statement.
 func NewRun(id, text string, after point.Point) Run { return Run{id: id, text: text, after: after} }
 
+// NewCommit returns the request to run a caller's commit.
+func NewCommit(id, text string) Run { return Run{id: id, text: text, commits: true} }
+
+// Commits reports whether the statement is a commit.
+func (o Run) Commits() bool { return o.commits }
+
 // ID returns the id that the caller gave the statement.
 func (o Run) ID() string { return o.id }
 
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"verbenagate/core/drain"
 	"verbenagate/core/event"
 	"verbenagate/core/layout"
 	"verbenagate/core/lead"
@@ -37,10 +38,9 @@
 )
 
 const (
-	// notReadyDelay is how long a stopping VM still accepts sessions, so that the load balancer sees first that it is not ready.
-	notReadyDelay = 2200 * time.Millisecond
-	// stopReserve is the part of the grace period that is left for the last steps of a stop, so that the process ends by itself.
-	stopReserve = 500 * time.Millisecond
+	// leaveTimeout bounds the last write of a stopping VM, which gives up its lease. With backgroundTimeout it is part of the reserve
+	// of a drain.Plan.
+	leaveTimeout = 250 * time.Millisecond
 	// backgroundTimeout bounds the wait for background goroutines at the end of a stop.
 	backgroundTimeout = 150 * time.Millisecond
 	// serverBatchDelay is how long an agent collects changes of servers' entries. Each server writes its entry every second or so,
@@ -274,18 +274,17 @@
 //  4. The background goroutines end. They log until then.
 //  5. The log is closed.
 func (e *Edge) Stop() {
-	began := Clock()
+	plan := drain.NewPlan(Clock(), e.settings.Grace())
 	e.stopping.Store(true)
-	e.owner.Stop()
+	e.owner.Stop(plan)
 	e.log.Event(event.DrainPhase, zap.String("phase", "not ready"), zap.Int("sessions", e.entry.Sessions()))
-	timeout := e.settings.Grace() - stopReserve
-	if left := e.entry.Stop(min(notReadyDelay, timeout/2), e.settings.Grace()/2, timeout); left > 0 {
+	if left := e.entry.Stop(plan); left > 0 {
 		e.log.Event(event.DrainTimeout, zap.Int("sessions", left))
 	}
-	if open := e.owner.Drain(timeout - Clock().Sub(began)); open > 0 {
+	if open := e.owner.Drain(plan.CloseAt().Sub(Clock())); open > 0 {
 		e.log.Event(event.DrainTimeout, zap.Int("forwarded_transactions", open))
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	e.elector.Stop(ctx)
 	cancel()
 	e.entry.Close()
--- /dev/null
+++ b/io/edge/reserve_test.go
@@ -0,0 +1,17 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"verbenagate/core/drain"
+)
+
+// Guards against a stop whose last steps, after the connections of callers have been closed, take longer than the grace period.
+func TestLastStepsFitIntoGracePeriod(t *testing.T) {
+	const grace = 6 * time.Second
+	now := time.Unix(1000, 0)
+	if left := now.Add(grace).Sub(drain.NewPlan(now, grace).CloseAt()); leaveTimeout+backgroundTimeout > left {
+		t.Fatalf("the last steps may take %s, and %s are left", leaveTimeout+backgroundTimeout, left)
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenagate/core/drain"
 	"verbenagate/core/event"
 	"verbenagate/core/layout"
 	"verbenagate/core/port"
@@ -39,6 +40,8 @@
 	// isolationCheckInterval is how often a VM checks whether it is cut off. It closes its idle sessions after two positive
 	// checks in a row.
 	isolationCheckInterval = 250 * time.Millisecond
+	// drainCheckInterval is how often a stopping VM looks for idle sessions.
+	drainCheckInterval = 20 * time.Millisecond
 )
 
 // Conn is the proxy's side of a caller's connection.
@@ -89,7 +92,7 @@
 type Server struct {
 	deps     Dependencies
 	listener net.Listener
-	stopping atomic.Bool
+	stop     atomic.Pointer[drain.Plan] // nil unless the server is stopping
 	callers  callers
 
 	mu         sync.Mutex
@@ -224,30 +227,41 @@
 	return len(s.sessions)
 }
 
-// Stop shuts the server down gracefully. It accepts connections until it returns, and starts to close idle sessions after linger.
-// A session with an open transaction is closed when the transaction has ended, or once it waits for a request and
-// transactionTimeout has passed. Stop returns when no session is open or after timeout, with the number of sessions still open.
-// All three durations are counted from the call.
-func (s *Server) Stop(linger, transactionTimeout, timeout time.Duration) int {
-	start := time.Now()
-	time.Sleep(linger)
-	s.stopping.Store(true)
-	for time.Since(start) < timeout {
-		s.drainIdle(time.Since(start) > transactionTimeout)
+// plan returns the plan of the stop. It is the zero Plan unless the server is stopping.
+func (s *Server) plan() drain.Plan {
+	if p := s.stop.Load(); p != nil {
+		return *p
+	}
+	return drain.Plan{}
+}
+
+// Stop shuts the server down gracefully. It accepts connections until it returns. A session is closed according to the plan: while it
+// waits for a request outside of a transaction, when its transaction has ended, or when its caller does not end the transaction. Stop
+// returns when no session is open or when the plan closes those that are left, with their number.
+func (s *Server) Stop(p drain.Plan) int {
+	s.stop.Store(&p)
+	time.Sleep(p.IdleUntil().Sub(s.deps.Clock()))
+	for now := s.deps.Clock(); now.Before(p.CloseAt()); now = s.deps.Clock() {
+		s.drainIdle(p, now)
 		if s.Sessions() == 0 {
 			break
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(drainCheckInterval)
 	}
 	_ = s.listener.Close()
 	return s.Sessions()
 }
 
-// Close closes the connections of the sessions that are still open. Call it after Stop.
+// Close closes the connections of the sessions that are still open, and tells their callers that the outcome of a request that still
+// runs is unknown. Call it after Stop.
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for ss := range s.sessions {
+		if ss.claimAnswer() {
+			s.deps.Log.Event(event.StatementCut, zap.String("database", ss.database))
+			_ = ss.conn.SendError(result.ConnectionLost, "this VM has stopped, and the outcome of the request is unknown", query.Idle)
+		}
 		_ = ss.conn.Close()
 	}
 }
@@ -266,13 +280,19 @@
 	}
 }
 
-// drainIdle closes the idle sessions. With includeTransactions, it also closes those that are idle in a transaction.
-func (s *Server) drainIdle(includeTransactions bool) {
+// drainIdle closes the idle sessions. Once transactions have had their time, it also bounds how long sessions in a transaction wait for
+// the next request.
+func (s *Server) drainIdle(p drain.Plan, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for ss := range s.sessions {
-		if ss.isIdle(includeTransactions) {
+		switch ss.phase.Load() {
+		case phaseIdle:
 			_ = ss.conn.SetReadDeadline(time.Unix(1, 0))
+		case phaseIdleInTransaction:
+			if p.EndsTransactions(now) && ss.lastRequest.CompareAndSwap(false, true) {
+				_ = ss.conn.SetReadDeadline(time.Now().Add(p.RequestWait(now)))
+			}
 		}
 	}
 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -156,7 +156,7 @@
 	err := result.New(result.NoServer, "no server of group %s can take the statement", r.Group())
 	for {
 		now := ss.entry.deps.Clock()
-		if !now.Before(deadline) {
+		if !now.Before(ss.entry.plan().AnswerBy(deadline)) {
 			return target{}, err
 		}
 		t, e := ss.tryAcquire(r, writes, began, deadline, tried)
@@ -208,7 +208,7 @@
 	requestedAt := ss.entry.deps.Clock()
 	var err error
 	t.conn, err = g.Acquire(id, pool.AcquireRequest{
-		Timeout: ss.attemptTimeout(deadline, t.onPrimary), AnswerWithin: usefulTimeLeft(r, deadline.Sub(requestedAt)),
+		Timeout: ss.attemptTimeout(ss.entry.plan().AnswerBy(deadline), t.onPrimary), AnswerWithin: usefulTimeLeft(r, deadline.Sub(requestedAt)),
 		Priority: r.Priority(), SessionValues: ss.values, MaxAge: maxAge, ReadOnly: !writes && ss.state != query.Open,
 		Workspace: ss.workspace, SendBackAt: sendBackAt,
 	})
@@ -562,7 +562,7 @@
 		}
 		requestedAt := ss.entry.deps.Clock()
 		res, sent, err := ss.tx.conn.Run(deadline.Sub(requestedAt), ss.queuePriority(ss.tx.route.Priority()),
-			exec.NewRun(id, st.Text(), point.Point{}))
+			exec.NewCommit(id, st.Text()))
 		if ss.tx.onPrimary && sent && !ownerLost(err) {
 			ss.entry.deps.Elector.RecordAnswer(ss.tx.route.Group(), a.server, requestedAt, err == nil)
 		}
--- a/io/entry/serve_test.go
+++ b/io/entry/serve_test.go
@@ -38,7 +38,7 @@
 // the read deadline again, and the VM had more connections than its limit.
 func TestSessionClosedForAnotherCallerEnds(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := &Server{deps: Dependencies{Metrics: metric.NewSet(Catalog(metric.NewRegistry()), metric.ReportInterval), Log: logs.Nop()}}
+	s := &Server{deps: Dependencies{Clock: time.Now, Metrics: metric.NewSet(Catalog(metric.NewRegistry()), metric.ReportInterval), Log: logs.Nop()}}
 	s.deps.Bounds.Account = bounds.NewAccount(0)
 	conn := &deadlineConn{}
 	now := time.Now()
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -23,13 +23,14 @@
 	phaseBusy int32 = iota
 	phaseIdle
 	phaseIdleInTransaction
+	phaseAnswering // the answer to the request is being sent
 )
 
 // defaultTransactionIdleTimeout bounds how long a transaction may be idle if the configuration sets no bound.
 const defaultTransactionIdleTimeout = 10 * time.Second
 
-// session is the session on a caller's connection. Other goroutines use only phase, closingOnIsolation, and the read deadline of
-// conn.
+// session is the session on a caller's connection. Other goroutines use only phase, closingOnIsolation, lastRequest, and the read deadline
+// of conn; after claimAnswer also the rest of conn.
 type session struct {
 	entry              *Server
 	conn               Conn
@@ -37,6 +38,7 @@
 	key                string // presented by the caller; it must not be logged
 	phase              atomic.Int32
 	closingOnIsolation atomic.Bool // the session is being closed because the VM is cut off
+	lastRequest        atomic.Bool // the wait for the next request is bounded since the VM is stopping
 
 	state         query.State
 	values        map[string]string
@@ -72,12 +74,6 @@
 	}
 }
 
-// isIdle reports whether the session waits for a request. A session in a transaction counts only with includeTransactions.
-func (ss *session) isIdle(includeTransactions bool) bool {
-	p := ss.phase.Load()
-	return p == phaseIdle || (includeTransactions && p == phaseIdleInTransaction)
-}
-
 // run serves the session's requests until it ends.
 func (ss *session) run() {
 	for {
@@ -91,6 +87,9 @@
 		began := ss.entry.deps.Clock()
 		a := ss.handle(id, st, began)
 		ss.recordResult(id, a, began)
+		if !ss.claimAnswer() {
+			return
+		}
 		err = ss.sendAnswer(a)
 		ss.releaseRolledBack()
 		if err != nil {
@@ -107,11 +106,14 @@
 	for {
 		ss.startWaiting()
 		id, st, err := ss.conn.ReadRequest()
-		ss.phase.Store(phaseBusy)
-		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return id, st, err
+		if err == nil {
+			ss.phase.Store(phaseBusy)
+			return id, st, nil
 		}
-		if ss.entry.stopping.Load() || ss.conn.HasBufferedInput() || ss.tx.conn == nil {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return "", nil, err
+		}
+		if ss.entry.plan().ClosesIdle(ss.entry.deps.Clock()) || ss.conn.HasBufferedInput() || ss.tx.conn == nil {
 			return "", nil, err
 		}
 		ss.abandonOnServer()
@@ -121,8 +123,9 @@
 
 // startWaiting sets the read deadline and the phase for the wait for a request.
 func (ss *session) startWaiting() {
+	now, plan := ss.entry.deps.Clock(), ss.entry.plan()
 	if ss.state == query.Idle {
-		if ss.entry.stopping.Load() {
+		if plan.ClosesIdle(now) {
 			_ = ss.conn.SetReadDeadline(time.Unix(1, 0))
 			return
 		}
@@ -138,6 +141,9 @@
 	if ss.tx.conn == nil {
 		timeout = time.Hour
 	}
+	if plan.EndsTransactions(now) {
+		timeout = plan.RequestWait(now)
+	}
 	_ = ss.conn.SetReadDeadline(time.Now().Add(timeout))
 	ss.phase.Store(phaseIdleInTransaction)
 }
@@ -163,6 +169,10 @@
 
 func answerFromError(err error) answer { return errorAnswer(result.CodeOf(err), result.Message(err)) }
 
+// claimAnswer reports whether the caller may be sent the answer to the request that runs. It may not if the VM has given up on the request
+// and answered it.
+func (ss *session) claimAnswer() bool { return ss.phase.CompareAndSwap(phaseBusy, phaseAnswering) }
+
 func (ss *session) sendAnswer(a answer) error {
 	if a.code == result.OK {
 		return ss.conn.SendAnswer(a.rows, a.signature, ss.state)
@@ -209,6 +219,9 @@
 		}
 		return errorAnswer(result.RolledBack, "the key of the caller is not valid any more")
 	}
+	if ss.state == query.Open && !endsTransaction(st) && ss.entry.plan().EndsTransactions(now) {
+		return ss.failTransaction(errorAnswer(result.RolledBack, "this VM is stopping"))
+	}
 	switch st := st.(type) {
 	case query.Set:
 		return ss.setValue(st)
@@ -240,6 +253,15 @@
 	return ss.failTransaction(errorAnswer(result.ProtocolError, "unsupported kind of statement"))
 }
 
+// endsTransaction reports whether a statement ends the open transaction.
+func endsTransaction(st query.Statement) bool {
+	switch st.(type) {
+	case query.Commit, query.Rollback:
+		return true
+	}
+	return false
+}
+
 // admitOperation checks that the configuration in force admits the caller, and counts an operation that begins at now for the caller's
 // workspace. It is the only check of an operation: nothing has been reserved for the operation, and none of it has run.
 func (ss *session) admitOperation(now time.Time) (layout.Route, error) {
--- a/io/remote/message.go
+++ b/io/remote/message.go
@@ -36,6 +36,8 @@
 	Place even.Place `cbor:"18,keyasint,omitempty"`
 	// SendBackAt is that of pool.AcquireRequest.
 	SendBackAt int `cbor:"19,keyasint,omitempty"`
+	// Commits is set for a commit. A stopping owner accepts it longer than other statements.
+	Commits bool `cbor:"20,keyasint,omitempty"`
 }
 
 // kind is the kind of a request.
@@ -54,7 +56,7 @@
 	var after point.Point
 	switch op := op.(type) {
 	case exec.Run:
-		q.Kind, q.ID, q.Text, after = kindRun, op.ID(), op.Text(), op.After()
+		q.Kind, q.ID, q.Text, q.Commits, after = kindRun, op.ID(), op.Text(), op.Commits(), op.After()
 	case exec.Execute:
 		q.Kind, q.ID, q.Text, after = kindExecute, op.ID(), op.Arguments(), op.After()
 		q.Shape, q.Writes = shape.Text(), shape.Writes()
--- a/io/remote/owner.go
+++ b/io/remote/owner.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenagate/core/drain"
 	"verbenagate/core/event"
 	"verbenagate/core/exec"
 	"verbenagate/core/point"
@@ -57,7 +58,7 @@
 	account   *bounds.Account // nil if bytes are not counted
 
 	mu           sync.Mutex
-	stopping     bool
+	stop         drain.Plan
 	running      int
 	transactions map[*link.Inbound]map[uint64]*transaction // by the connection of the VM that began them
 	background   sync.WaitGroup
@@ -129,8 +130,8 @@
 			// The calling VM no longer waits, for instance since this VM was suspended.
 			return errorReply(result.New(result.DeadlineTooClose, "the request is %s old", c.Age()), false, false), nil
 		}
-		if !o.begin(from, q) {
-			return errorReply(result.New(result.ShuttingDown, "this VM is stopping"), false, false), nil
+		if err := o.begin(from, q); err != nil {
+			return errorReply(err, false, false), nil
 		}
 		defer o.end()
 		h, err := o.holdBytes(c)
@@ -169,11 +170,12 @@
 	o.positions.refreshes.Wait()
 }
 
-// Stop makes the owner refuse new work, as not run, so that the other VMs turn to the next owner.
-func (o *Owner) Stop() {
+// Stop makes the owner refuse new work, as not run, so that the other VMs turn to the next owner. Open transactions go on until the plan
+// ends them.
+func (o *Owner) Stop(p drain.Plan) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.stopping = true
+	o.stop = p
 }
 
 // Drain waits until no request runs and no transaction is open, for at most limit. It returns the number of open transactions.
@@ -191,15 +193,22 @@
 	}
 }
 
-// begin registers a request. It returns false if the owner is stopping and the request belongs to no open transaction.
-func (o *Owner) begin(from *link.Inbound, q runCall) bool {
+// begin registers a request, or returns why it is refused: the owner is stopping, and the request belongs to no open transaction or the
+// transaction has had its time.
+func (o *Owner) begin(from *link.Inbound, q runCall) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if _, open := o.transactions[from][q.Session]; o.stopping && !open {
-		return false
+	if o.stop.Began() {
+		_, open := o.transactions[from][q.Session]
+		if !open {
+			return result.New(result.ShuttingDown, "this VM is stopping")
+		}
+		if o.stop.EndsTransactions(o.clock()) && !q.Commits && q.Kind != kindRollback {
+			return result.New(result.RolledBack, "the VM that runs the transaction is stopping")
+		}
 	}
 	o.running++
-	return true
+	return nil
 }
 
 func (o *Owner) end() {
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -12,6 +12,7 @@
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"verbenagate/core/drain"
 	"verbenagate/core/even"
 	"verbenagate/core/event"
 	"verbenagate/core/exec"
@@ -320,7 +321,7 @@
 	_, _, err := open.Do(testTimeout, exec.NewBegin(false, point.Point{}))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	late := v.acquire(t, "ledger-0")
-	owner.owner.Stop()
+	owner.owner.Stop(drain.NewPlan(time.Now(), time.Hour))
 	_, sent, err := run(late, "w1", "WRITE x one")
 	g.Expect(result.CodeOf(err)).To(gomega.Equal(result.ShuttingDown))
 	g.Expect(sent).To(gomega.BeFalse())
@@ -337,6 +338,35 @@
 	g.Expect(owner.owner.Drain(testTimeout)).To(gomega.BeZero())
 }
 
+// Guards against a stopping owner that goes on with transactions until it ends, which cuts off the statement that runs then, and against
+// one that refuses their commits, too.
+func TestStoppingOwnerEndsTransactions(t *testing.T) {
+	const grace = testTimeout
+	g := gomega.NewWithT(t)
+	_, owner, v := newPair(t)
+	var open []pool.Session
+	for range 2 {
+		s := v.acquire(t, "ledger-0")
+		_, _, err := s.Do(testTimeout, exec.NewBegin(false, point.Point{}))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		open = append(open, s)
+	}
+	owner.owner.Stop(drain.NewPlan(time.Now(), grace))
+	_, _, err := run(open[0], "w1", "WRITE x one")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	owner.clock.Store(int64(grace / 2))
+	_, sent, err := run(open[0], "w2", "WRITE x two")
+	g.Expect(result.CodeOf(err)).To(gomega.Equal(result.RolledBack))
+	g.Expect(sent).To(gomega.BeFalse())
+	r, _, err := open[0].Run(testTimeout, 1, exec.NewCommit("c", "COMMIT"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.Code()).To(gomega.Equal(result.OK))
+	r, _, err = open[1].Do(testTimeout, exec.Rollback{})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.State()).To(gomega.Equal(query.Idle))
+	g.Expect(owner.owner.Drain(0)).To(gomega.BeZero())
+}
+
 // Guards against a statement that is lost when the owner has died: it was not sent, so it may be sent again.
 func TestDeadOwnerIsPassedOver(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/lab/lines/lines.go
+++ b/lab/lines/lines.go
@@ -56,7 +56,8 @@
 	reportedLag    time.Duration   // replication lag that the status reports while the server follows
 	conns          map[net.Conn]struct{}
 	stopped        bool
-	statusCount    int // requests for the status
+	statusCount    int           // requests for the status
+	work           time.Duration // how long a caller's statement runs
 }
 
 // NewGroup starts a group with n servers; the first one is the leader.
@@ -181,6 +182,13 @@
 	s.busy = on
 }
 
+// SetWork sets how long a caller's statement runs before it is answered.
+func (s *Server) SetWork(d time.Duration) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.work = d
+}
+
 // SetReportedLag sets the replication lag that the server reports. A promotion resets it to 0.
 func (s *Server) SetReportedLag(d time.Duration) {
 	s.group.mu.Lock()
@@ -322,7 +330,11 @@
 // needsSlot holds the verbs of requests that occupy a slot.
 var needsSlot = map[string]bool{"READ": true, "WRITE": true, "EXEC": true, "COMMIT": true, "STATUS": true}
 
-const doneReply = "DONE -\r\n"
+const (
+	doneReply = "DONE -\r\n"
+	// noID is the id of requests that the system makes itself.
+	noID = "-"
+)
 
 // refuse returns an error reply and fails the open transaction, if any.
 func (ss *session) refuse(code string) string {
@@ -351,6 +363,11 @@
 	if ss.txFailed && verb != "ROLLBACK" {
 		return "ERR MALFORMED failed\r\n", nil
 	}
+	if work := s.work; work > 0 && id != noID {
+		s.group.mu.Unlock()
+		time.Sleep(work)
+		s.group.mu.Lock()
+	}
 	body := ss.execute(id, verb, rest, text)
 	if s.repliesDropped[verb] {
 		return "", errReplyDropped
