core/notice, io/relay: read the configuration from the store while the agent of a VM is in doubt

Cause: the VM's call for changes waited at an agent that did not know of its own silence. The VM's next renewal (up to 1.5 s later) ended that wait by its limit of 1 s, and then the same at the second and the third agent: 4.5 s in all, which nobody had added up. Change: a renewal that an agent leaves unanswered for 0.6 s puts it in doubt, and the VM reads the table with the configuration from the store itself, as after a failed call for changes of it (event 718). core/notice holds the limits of the calls and their sums along each path; the limits of io/relay and io/elect moved there.

--- a/core/lead/agent.go
+++ b/core/lead/agent.go
@@ -9,9 +9,9 @@
 	"verbenagate/core/owner"
 )
 
-// maxAgents is how many VMs of a data centre may act as agents. The next one is used when those before it do not answer or
+// MaxAgents is how many VMs of a data centre may act as agents. The next one is used when those before it do not answer or
 // cannot reach the store.
-const maxAgents = 3
+const MaxAgents = 3
 
 // WithLocation returns a copy of the member with its location: its data centre and the address at which other VMs reach it, ""
 // if they cannot.
@@ -91,8 +91,8 @@
 			others = append(others, m)
 		}
 	}
-	agents := newSizeRanking(large).top(dataCentre, maxAgents)
-	return append(agents, newSizeRanking(others).top(dataCentre, maxAgents-len(agents))...)
+	agents := newSizeRanking(large).top(dataCentre, MaxAgents)
+	return append(agents, newSizeRanking(others).top(dataCentre, MaxAgents-len(agents))...)
 }
 
 // Merge returns one member for each VM from the rows of several agents. A VM that has seen an epoch uses no record from before
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -144,6 +144,7 @@
 		e.pools.SetForwarder(forwarder)
 	}
 	agents := relay.New(ctx, s.VM(), a.Rows, map[string]relay.Table{
+		a.Source.ConfigTable: {UrgentKey: a.Source.ConfigKey},
 		a.Source.ServerTable: {BatchDelay: serverBatchDelay, Meaning: a.Source.ServerMeaning},
 		elect.LeadTable:      {BatchDelay: recordBatchDelay},
 	}, clients, Clock, log)
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -15,6 +15,7 @@
 
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
+	"verbenagate/core/notice"
 	"verbenagate/core/point"
 	"verbenagate/core/port"
 	"verbenagate/core/retry"
@@ -57,8 +58,6 @@
 	startupGrace = 2 * time.Second
 	// failedMoveDelay is how long a VM that failed to replace a primary waits before it tries again, so that other VMs can.
 	failedMoveDelay = time.Second
-	// maxConfirmDelay is how long running transactions on a primary that is being replaced may delay this VM's confirmation.
-	maxConfirmDelay = 400 * time.Millisecond
 )
 
 // Clock returns the time of a clock that also advances while the process or its VM is suspended.
@@ -458,7 +457,7 @@
 		zap.Uint64("term", r.Term()), zap.Bool("moving", r.Phase() == lead.Moving), zap.String("by", r.Writer()),
 		zap.Uint64("version", r.Version()))
 	if r.Phase() == lead.Moving && g.record.Phase() == lead.Stable {
-		g.confirmDeadline = now.Add(maxConfirmDelay)
+		g.confirmDeadline = now.Add(notice.MaxRenewalDelay)
 	}
 	if r.Phase() == lead.Stable {
 		if r.Server() != g.record.Server() || g.record.Phase() != lead.Stable {
@@ -557,7 +556,7 @@
 	return next, nil
 }
 
-// awaitPrimaryUses waits until no work uses a primary that is being replaced, but at most maxConfirmDelay from when this VM saw
+// awaitPrimaryUses waits until no work uses a primary that is being replaced, but at most notice.MaxRenewalDelay from when this VM saw
 // the moving record. It reports whether the records have been read.
 func (e *Elector) awaitPrimaryUses(ctx context.Context) bool {
 	for ctx.Err() == nil {
--- a/io/elect/grant.go
+++ b/io/elect/grant.go
@@ -9,12 +9,12 @@
 
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
+	"verbenagate/core/notice"
 	"verbenagate/core/port"
 )
 
 const (
-	// batchWindow is how long renewals are collected for one transaction; urgentBatchWindow applies once one of them is urgent.
-	batchWindow       = 250 * time.Millisecond
+	// urgentBatchWindow is how long renewals are collected for one transaction once one of them is urgent, instead of notice.BatchWindow.
 	urgentBatchWindow = 15 * time.Millisecond
 )
 
@@ -83,7 +83,7 @@
 	}
 }
 
-// collectBatch waits for a renewal and returns it with those that arrive within batchWindow, or within urgentBatchWindow if one
+// collectBatch waits for a renewal and returns it with those that arrive within notice.BatchWindow, or within urgentBatchWindow if one
 // of them is urgent. It returns nil when ctx ends.
 func (e *Elector) collectBatch(ctx context.Context) []*renewRequest {
 	var batch []*renewRequest
@@ -100,7 +100,7 @@
 			now := e.clock()
 			if len(batch) == 0 {
 				firstReceived = now
-				t.Reset(batchWindow)
+				t.Reset(notice.BatchWindow)
 			}
 			batch = append(batch, r)
 			e.scheduleNextBatch(now)
@@ -118,7 +118,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !now.Before(e.nextBatch) {
-		e.nextBatch = now.Add(batchWindow + lead.RenewInterval)
+		e.nextBatch = now.Add(notice.BatchWindow + lead.RenewInterval)
 	}
 }
 
--- a/io/relay/hub.go
+++ b/io/relay/hub.go
@@ -30,6 +30,8 @@
 	// Meaning returns what the value of a row means to the VMs, which can be compared, or nil if it means nothing known. If it is set,
 	// changes between values with the same meaning are not passed on.
 	Meaning func(value []byte) any
+	// UrgentKey is the key of a row whose changes must reach every VM within the bounds of core/notice, "" if the table has none.
+	UrgentKey string
 }
 
 // hub follows each table of the store once, on behalf of all VMs that read it.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -15,14 +15,13 @@
 
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
+	"verbenagate/core/notice"
 	"verbenagate/core/port"
 	"verbenagate/io/link"
 	"verbenagate/io/logs"
 )
 
 const (
-	// renewTimeout is the time limit for a renewal by an agent, which batches the renewals of several VMs into one write.
-	renewTimeout = time.Second
 	// listTimeout is the time limit for a list by an agent.
 	listTimeout = 2 * time.Second
 	// changesGrace is added to the requested wait of a call for changes to get the time limit for the agent's reply.
@@ -64,13 +63,16 @@
 	agentsWait    context.Context
 	fleet         lead.Fleet                       // the last one received from an agent
 	calls         map[string]map[*pendingCall]bool // by agent, this VM included
+	doubted       map[string]bool                  // agents whose doubt has not led to a direct read yet
 }
 
 // pendingCall is a call that waits for the reply of an agent, or for changes on this VM.
 type pendingCall struct {
-	cancel context.CancelFunc
-	waits  bool // for changes of a table
-	moved  bool // canceled since another agent has become the first one; guarded by Relay.mu
+	cancel  context.CancelFunc
+	waits   bool // for changes of a table
+	urgent  bool // the table has an urgent row
+	moved   bool // canceled since another agent has become the first one; guarded by Relay.mu
+	inDoubt bool // canceled since the agent is in doubt; guarded by Relay.mu
 }
 
 // New returns the relay of the VM self. Until SetAgents names other VMs, it calls the store itself. Tables says how the VM follows
@@ -80,7 +82,7 @@
 ) *Relay {
 	r := &Relay{
 		self: self, store: store, hub: newHub(ctx, store, tables, clock), clients: clients, clock: clock, log: log,
-		failedUntil: make(map[string]time.Time), calls: make(map[string]map[*pendingCall]bool),
+		failedUntil: make(map[string]time.Time), calls: make(map[string]map[*pendingCall]bool), doubted: make(map[string]bool),
 	}
 	r.agentsWait, r.endAgentsWait = context.WithTimeout(ctx, agentsWaitTimeout)
 	return r
@@ -93,7 +95,7 @@
 		if err := c.Decode(&q); err != nil {
 			return nil, err
 		}
-		ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+		ctx, cancel := context.WithTimeout(ctx, notice.RenewTimeout)
 		defer cancel()
 		next, err := r.granterOf().Grant(ctx, q.member(), q.Leave)
 		answer := newReply(port.Snapshot{}, err)
@@ -172,7 +174,8 @@
 	return callFirstAvailable(ctx, r, func() (time.Duration, error) {
 		return r.granterOf().Grant(ctx, m, leave)
 	}, func(a lead.Member) (time.Duration, error) {
-		answer, err := r.call(ctx, a, agentCall{method: link.Renew, args: newRenewCall(m, leave), timeout: renewTimeout})
+		defer r.doubtAfter(notice.DoubtAfter, a.Name())()
+		answer, err := r.call(ctx, a, agentCall{method: link.Renew, args: newRenewCall(m, leave), timeout: notice.RenewTimeout})
 		if err == nil {
 			_, err = answer.snapshot("")
 		}
@@ -223,10 +226,18 @@
 		if !r.isFirstAgent(a.Name()) {
 			wait = min(wait, otherAgentWait)
 		}
-		return r.snapshotCall(ctx, agentCall{
+		urgent := r.hub.tables[table].UrgentKey != ""
+		if urgent && r.takeDoubt(a.Name()) {
+			return r.changesWithoutAgent(ctx, a, table, after, errInDoubt)
+		}
+		s, err := r.snapshotCall(ctx, agentCall{
 			method: link.Changes, args: changesCall{Table: table, After: after, Wait: wait}, table: table, timeout: wait + changesGrace,
-			waits: true,
+			waits: true, urgent: urgent,
 		})(a)
+		if urgent && !isStoreOutcome(err) && ctx.Err() == nil {
+			return r.changesWithoutAgent(ctx, a, table, after, err)
+		}
+		return s, err
 	})
 }
 
@@ -256,6 +267,7 @@
 	table   string // whose rows the call returns, if any
 	timeout time.Duration
 	waits   bool // for changes
+	urgent  bool // see Table.UrgentKey
 }
 
 // tableReader returns what this VM reads tables from when it makes a call itself: the hub if the VM is an agent, else the store.
@@ -327,13 +339,16 @@
 
 // call makes the call q at an agent. A call for changes that ends since another agent has become the first one returns no changes.
 func (r *Relay) call(ctx context.Context, a lead.Member, q agentCall) (reply, error) {
-	c := &pendingCall{waits: q.waits}
+	c := &pendingCall{waits: q.waits, urgent: q.urgent}
 	ctx, end := r.startCall(ctx, a.Name(), c)
 	defer end()
 	var answer reply
 	_, err := r.clients.Call(ctx, a.Address(), q.method, q.args, &answer, link.Options{Timeout: q.timeout, Ping: link.SlowPing})
-	if err != nil && r.hasMoved(c) {
+	switch {
+	case err != nil && r.hasMoved(c):
 		return reply{Code: codeOK}, nil
+	case err != nil && r.isInDoubt(c):
+		return answer, errInDoubt
 	}
 	return answer, err
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -23,13 +23,16 @@
 	"verbenagate/platform"
 )
 
-// testTables has a table in which values that begin with the same byte are equal.
-var testTables = map[string]Table{"t": {Meaning: func(value []byte) any {
-	if len(value) == 0 {
-		return nil
-	}
-	return value[0]
-}}}
+// testTables has a table in which values that begin with the same byte are equal, and one with an urgent row.
+var testTables = map[string]Table{
+	"t": {Meaning: func(value []byte) any {
+		if len(value) == 0 {
+			return nil
+		}
+		return value[0]
+	}},
+	"urgent": {UrgentKey: "a"},
+}
 
 type discardLogger struct{}
 
@@ -42,6 +45,7 @@
 	version      uint64
 	changed      chan struct{}
 	down         bool
+	historyGone  bool // calls for changes fail
 	lists        int
 	changesCalls int
 }
@@ -65,6 +69,12 @@
 	f.wake()
 }
 
+func (f *fakeStore) setHistoryGone(gone bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.historyGone = gone
+}
+
 func (f *fakeStore) wake() {
 	close(f.changed)
 	f.changed = make(chan struct{})
@@ -106,6 +116,10 @@
 			f.mu.Unlock()
 			return port.Snapshot{}, errDown
 		}
+		if f.historyGone {
+			f.mu.Unlock()
+			return port.Snapshot{}, port.ErrHistoryGone
+		}
 		s := port.Snapshot{Version: f.version}
 		for _, r := range f.rows {
 			if r.Version > after {
