io/caller: end transactions after half of the time of a graceful shutdown

Callers saw (PostgreSQL interface): a transaction with short pauses went on until the drain limit, at which the connection was closed with a unit running and no answer. Change: when half of the time limit of Drain has passed, a unit of an open transaction is refused with SQLSTATE 40001 and the transaction is rolled back, unless the unit only commits or rolls back. core/drain says when. Without a time limit nothing changes.

--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -163,6 +163,8 @@
 	var err, abortErr error
 	if c.txLost {
 		err = c.answerLostTx(a)
+	} else if err = c.refuseWhileStopping(infos, time.Now()); err != nil {
+		abortErr = c.abortTx(ctx)
 	} else if err = c.runInSession(ctx, a, infos); err != nil {
 		abortErr = c.abortTx(ctx)
 	}
@@ -193,6 +195,23 @@
 	return asCallerError(c.session.Err())
 }
 
+// refuseWhileStopping returns an error if the VM is being stopped and open transactions have had their time. Units that only end the
+// transaction are still accepted.
+func (c *conn) refuseWhileStopping(infos []stmt.Info, now time.Time) error {
+	plan := c.srv.plan.Load()
+	if plan == nil || c.status != work.TxActive || !plan.EndsTransactions(now) {
+		return nil
+	}
+	for _, i := range infos {
+		switch i.Class() {
+		case stmt.Commit, stmt.Rollback, stmt.Empty:
+		default:
+			return result.New(result.RolledBack, "this VM is stopping, and the transaction was rolled back")
+		}
+	}
+	return nil
+}
+
 // runInSession runs the unit in the session. An error is reported to the caller and doesn't end the connection.
 func (c *conn) runInSession(ctx context.Context, a *answer, infos []stmt.Info) error {
 	class, fp := sess.Summary(infos)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenagate/core/drain"
 	"verbenagate/core/event"
 	"verbenagate/core/result"
 	"verbenagate/core/stmt"
@@ -41,6 +42,7 @@
 	sessions      atomic.Int64
 	starting      atomic.Int64
 	draining      atomic.Bool
+	plan          atomic.Pointer[drain.Plan] // nil unless Drain has a time limit
 	stop          context.CancelFunc
 	wg            sync.WaitGroup
 	shards        [shardCount]shard
@@ -281,8 +283,14 @@
 
 // Drain stops accepting callers, lets running units and open transactions finish, and closes each session at its next
 // transaction boundary. It returns nil when no session is left. If ctx ends first, it returns the remaining sessions,
-// which Close then ends.
+// which Close then ends. When half of the time until the deadline of ctx has passed, open transactions accept only their
+// commit or rollback, so that no unit is cut off at the deadline.
 func (s *Server) Drain(ctx context.Context) []SessionState {
+	if deadline, ok := ctx.Deadline(); ok {
+		now := time.Now()
+		plan := drain.NewPlan(now, deadline.Sub(now))
+		s.plan.Store(&plan)
+	}
 	s.draining.Store(true)
 	_ = s.ln.Close()
 	for _, c := range s.conns() {
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -236,6 +236,36 @@
 	g.Eventually(s.Len, 10*time.Second).Should(gomega.BeZero())
 }
 
+// Guards against a graceful shutdown that cuts off a unit of a transaction at its deadline, since the transaction went on until then.
+func TestDrainEndsTransactions(t *testing.T) {
+	const limit = 2 * time.Second
+	g := gomega.NewWithT(t)
+	s := startServer(t, newFakeBackend())
+	begin := func() pgx.Tx {
+		tx, err := connect(t, s, "sslmode=disable").Begin(t.Context())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return tx
+	}
+	commits, goesOn := begin(), begin()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	drained := make(chan []SessionState, 1)
+	go func() { drained <- s.Drain(ctx) }()
+	g.Eventually(func() bool { return s.plan.Load() != nil }, 10*time.Second).Should(gomega.BeTrue())
+	plan := *s.plan.Load()
+	for !plan.EndsTransactions(time.Now()) {
+		time.Sleep(time.Millisecond)
+	}
+	g.Expect(commits.Commit(t.Context())).To(gomega.Succeed())
+	_, err := goesOn.Exec(t.Context(), "INSERT INTO plots VALUES (1)")
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("SQLSTATE 40001")))
+	g.Expect(goesOn.Rollback(t.Context())).To(gomega.Succeed())
+	for _, tx := range []pgx.Tx{commits, goesOn} {
+		_ = tx.Conn().Close(t.Context()) // The VM waits for the caller to close the connection that it has ended.
+	}
+	g.Expect(<-drained).To(gomega.BeEmpty())
+}
+
 // Guards against a graceful shutdown that closes a connection in the middle of a message.
 func TestDrainMidMessage(t *testing.T) {
 	g := gomega.NewWithT(t)
