core/notice, io/elect, io/relay, platform: notice a silent connection to the store by renewals

Cause: the call's own limit (3.5 s of waiting and 2 s) was the only thing to show it while other calls were answered; the design added the two spans that the rule counts at the same time. Class: idle connections to the store that went silent at the same time cost a limit each, one after the other; a VM that becomes an agent kept a call for changes that no other call watches over. Not changed: calls for the entries of servers (bound 7 s, limit 5.5 s). Change: the transaction of a renewal has the version of the configuration's row as a condition, and is made again without it if a change was missed, together with the call for changes (event 719). SetAgents ends the calls for changes that the VM made at the store itself. Why it works: each renewal, every 1.5 s, proves that nothing was missed, on a connection that is not the silent one, or is itself in doubt after 0.6 s; core/notice adds up 2.45 s and 3.05 s of 4 s.

--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -63,6 +63,7 @@
 	PromotionHeld      ID = 716
 	MembersRefused     ID = 717
 	AgentInDoubt       ID = 718
+	ChangeMissed       ID = 719
 	ConfigApplied      ID = 800
 	ConfigOlder        ID = 801
 	ConfigRefused      ID = 802
@@ -139,6 +140,7 @@
 	{PromotionHeld, LayerFailover, "promotion waits for a server that may have acknowledged commits", "Start the servers that are missing; after 30 s without them the best of the others is promoted."},
 	{MembersRefused, LayerFailover, "invalid row among the leases of VMs", "Find the program that wrote the row; VMs are not affected, but changes of a primary take the duration of a lease while it exists."},
 	{AgentInDoubt, LayerFailover, "renewal by agent VM unanswered; the VM reads the configuration from the store itself", "None, unless it repeats; then check that VM and its network path to the store."},
+	{ChangeMissed, LayerFailover, "a renewal showed that a change of the configuration was missed; the store is asked again", "None, unless it repeats; then check the connections of this VM to the store."},
 	{ConfigApplied, LayerConfig, "configuration revision in force", "None."},
 	{ConfigOlder, LayerConfig, "store holds an older configuration", "Find out why the store holds an older state; the VMs keep the newer configuration."},
 	{ConfigRefused, LayerConfig, "configuration change refused", "Correct the errors listed, or base the change on the current revision."},
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -3,9 +3,11 @@
 package notice
 
 import (
+	"slices"
 	"time"
 
 	"verbenagate/core/lead"
+	"verbenagate/core/port"
 )
 
 const (
@@ -73,15 +75,28 @@
 	return sum
 }
 
+// Missed reports whether one of the known rows is not among the current ones with the same version, so that a change of it was missed.
+func Missed(known, current []port.Row) bool {
+	return slices.ContainsFunc(known, func(k port.Row) bool {
+		return !slices.ContainsFunc(current, func(c port.Row) bool {
+			return c.Table == k.Table && c.Key == k.Key && c.Version == k.Version
+		})
+	})
+}
+
 // Paths returns the paths that a VM relies on, each with the longest way that a change takes.
 func Paths() []Path {
 	renewal := Step{"the next renewal", lead.RenewInterval + BatchWindow}
 	delayed := Step{"work on a primary that is being replaced", MaxRenewalDelay}
+	batch := Step{"the agent's batch of renewals", BatchWindow}
 	doubt := Step{"the renewal's answer", DoubtAfter}
 	direct := Step{"the VM's own read on a silent connection", DirectTimeout}
 	agents := Step{"renewals by each agent", lead.MaxAgents * RenewTimeout}
 	reserve := Step{"answers, and the configuration in force", answerReserve}
 	return []Path{
+		{"agent: the connection that waits for changes is silent", []Step{renewal, delayed, batch, reserve}, MaxDelayAfterSilence},
+		{"agent: all open connections to the store are silent", []Step{renewal, delayed, batch, doubt, reserve}, MaxDelayAfterSilence},
+		{"VM behind an agent: the agent's connection that waits for changes is silent", []Step{renewal, delayed, batch, reserve}, MaxDelayAfterSilence},
 		{"VM behind an agent: the store does not answer its agent, or all of its agents", []Step{renewal, delayed, doubt, reserve}, MaxDelay},
 		{"VM behind an agent: its open connections to the agent and to the store are silent", []Step{renewal, delayed, doubt, direct, reserve}, MaxDelayAfterSilence},
 		{"VM behind an agent: the store answers none of its agents, and a server drains", []Step{renewal, delayed, agents, reserve}, MaxDrainDelay},
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -170,6 +170,12 @@
 }
 
 func (s *deployment) launchVM(name string) *edge.Edge {
+	store := platform.NewStore(s.store.Addr(), s.store.Addr())
+	return s.launchVMWith(name, s.adapters(name, store, store))
+}
+
+// launchVMWith starts a VM with these adapters.
+func (s *deployment) launchVMWith(name string, adapters edge.Adapters) *edge.Edge {
 	callers := reserveAddress(s.t)
 	text := fmt.Sprintf("vm: %s\ndata_centre: dc0\ncallers: %s\nready: %s\nmetrics: %s\npeers: %s\nstore: %s\norders: %s\ngrace_s: 2\nvms: 3\n",
 		name, callers, reserveAddress(s.t), reserveAddress(s.t), reserveAddress(s.t), s.store.Addr(), s.store.Addr())
@@ -186,8 +192,7 @@
 			s.t.Fatal(err)
 		}
 	}
-	store := platform.NewStore(s.store.Addr(), s.store.Addr())
-	vm, err := edge.Start(settings, s.adapters(name, store, store), out)
+	vm, err := edge.Start(settings, adapters, out)
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -93,6 +93,10 @@
 	ReadFleet(ctx context.Context, maxAge time.Duration) (lead.Fleet, error)
 	// Renew renews this VM's lease, or gives it up if leave is set. It returns when the next renewal is due, 0 if that is unknown.
 	Renew(ctx context.Context, m lead.Member, leave bool) (next time.Duration, err error)
+	// UrgentRows returns the rows whose changes this VM must not miss, as it knows them, if it follows their tables for others.
+	UrgentRows() []port.Row
+	// RecheckUrgent makes this VM ask the store again for changes of these rows, since it has missed one.
+	RecheckUrgent()
 	// SetAgents sets the VMs that act as agents.
 	SetAgents(agents []lead.Member)
 }
--- a/io/elect/grant.go
+++ b/io/elect/grant.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -241,7 +242,7 @@
 		}
 		put = append(put, row)
 	}
-	s, err := e.rows.Commit(ctx, expect, put, remove)
+	s, err := e.commitWithUrgentRows(ctx, expect, put, remove)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.recordStoreClock(now, s)
@@ -260,6 +261,19 @@
 	return err
 }
 
+// commitWithUrgentRows commits a transaction of leases that also proves that this VM has missed no change of the urgent rows: a call that
+// waits for changes on a connection that has gone silent does not show it. If one was missed, the transaction is made again without that
+// condition, so that no lease depends on rows that others write.
+func (e *Elector) commitWithUrgentRows(ctx context.Context, expect, put, remove []port.Row) (port.Snapshot, error) {
+	urgent := e.agents.UrgentRows()
+	s, err := e.rows.Commit(ctx, slices.Concat(expect, urgent), put, remove)
+	if !errors.Is(err, port.ErrConflict) || !notice.Missed(urgent, s.Rows) {
+		return s, err
+	}
+	e.agents.RecheckUrgent()
+	return e.rows.Commit(ctx, expect, put, remove)
+}
+
 // observeLeases records the continuity of the leases in all rows of memberTable, where that is needed. Before the first transaction of
 // this VM, which replaces one of the rows, the configuration may not say yet whether it is needed. The caller holds mu.
 func (e *Elector) observeLeases(s port.Snapshot, beforeFirstCommit bool) {
--- a/io/relay/hub.go
+++ b/io/relay/hub.go
@@ -119,7 +119,7 @@
 			changed: make(chan struct{}),
 		}
 		h.followed[name] = t
-		h.following.Go(func() { watch.Follow(ctx, h.store, name, options.BatchDelay, h.clock, t) })
+		h.following.Go(func() { watch.Follow(ctx, &tableReader{h.store, t}, name, options.BatchDelay, h.clock, t) })
 	}
 	t.activeCalls++
 	if t.idleTimer != nil {
@@ -147,6 +147,56 @@
 	})
 }
 
+// urgentRows returns the rows that the urgent keys of the followed tables name, as far as they are known.
+func (h *hub) urgentRows() []port.Row {
+	var rows []port.Row
+	for name, options := range h.tables {
+		t := h.followedTable(name)
+		if options.UrgentKey == "" || t == nil {
+			continue
+		}
+		if r, ok := t.row(options.UrgentKey); ok {
+			rows = append(rows, port.Row{Table: name, Key: r.Key, Version: r.Version})
+		}
+	}
+	return rows
+}
+
+// recheckUrgent asks the store again for the changes of the tables with an urgent row.
+func (h *hub) recheckUrgent() {
+	for name, options := range h.tables {
+		if t := h.followedTable(name); options.UrgentKey != "" && t != nil {
+			t.recheck()
+		}
+	}
+}
+
+// followedTable returns a table if it is followed, else nil.
+func (h *hub) followedTable(name string) *followedTable {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.followed[name]
+}
+
+// tableReader reads a followed table from the store. A call for changes that is ended by recheck is made again.
+type tableReader struct {
+	port.RowReader
+	t *followedTable
+}
+
+// Changes implements port.RowReader.
+func (r *tableReader) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (port.Snapshot, error) {
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.t.setRecheck(cancel)
+	s, err := r.RowReader.Changes(waitCtx, table, after, wait)
+	r.t.setRecheck(nil)
+	if err != nil && waitCtx.Err() != nil && ctx.Err() == nil {
+		return r.RowReader.Changes(ctx, table, after, 0)
+	}
+	return s, err
+}
+
 // followedTable holds the newest state of a table that the hub follows. It implements watch.Follower.
 type followedTable struct {
 	name        string
@@ -166,6 +216,31 @@
 	listed       bool
 	lastErr      error // of the last call of the store, nil if it succeeded
 	changed      chan struct{}
+	endWait      func() // ends the call of the store that waits for changes, nil if there is none
+}
+
+// row returns the row with this key as of the last change, and false if it is not known or the last call of the store failed.
+func (t *followedTable) row(key string) (port.Row, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.rows[key]
+	return r, ok && t.listed && t.lastErr == nil && !r.Deleted
+}
+
+// recheck ends the call of the store that waits for changes, so that it is made again on another connection.
+func (t *followedTable) recheck() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.endWait != nil {
+		t.endWait()
+	}
+}
+
+// setRecheck sets what recheck does.
+func (t *followedTable) setRecheck(endWait func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.endWait = endWait
 }
 
 // list returns the rows of the table once it has been listed.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -71,6 +71,7 @@
 	cancel  context.CancelFunc
 	waits   bool // for changes of a table
 	urgent  bool // the table has an urgent row
+	direct  bool // of the store, not of the hub, which proves that no change was missed
 	moved   bool // canceled since another agent has become the first one; guarded by Relay.mu
 	inDoubt bool // canceled since the agent is in doubt; guarded by Relay.mu
 }
@@ -149,7 +150,7 @@
 		r.log.Event(event.AgentChanged, zap.String("agent", agents[0].Name()), zap.String("address", agents[0].Address()))
 		for name, calls := range r.calls {
 			for c := range calls {
-				if c.waits && name != agents[0].Name() {
+				if c.waits && (name != agents[0].Name() || c.direct) {
 					c.moved = true
 					c.cancel()
 				}
@@ -187,7 +188,7 @@
 func (r *Relay) List(ctx context.Context, table string) (port.Snapshot, error) {
 	<-r.agentsWait.Done()
 	return callFirstAvailable(ctx, r, func() (port.Snapshot, error) {
-		return r.tableReader().List(ctx, table)
+		return r.localReader().List(ctx, table)
 	}, r.snapshotCall(ctx, agentCall{method: link.List, args: listCall{Table: table}, table: table, timeout: listTimeout}))
 }
 
@@ -220,7 +221,7 @@
 // Changes implements port.RowReader.
 func (r *Relay) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (port.Snapshot, error) {
 	return callFirstAvailable(ctx, r, func() (port.Snapshot, error) {
-		return r.localChanges(ctx, r.tableReader(), table, after, wait)
+		return r.localChanges(ctx, r.localReader(), table, after, wait)
 	}, func(a lead.Member) (port.Snapshot, error) {
 		wait := wait
 		if !r.isFirstAgent(a.Name()) {
@@ -244,7 +245,7 @@
 // localChanges waits for changes on this VM. It returns none if another VM becomes the first agent meanwhile.
 func (r *Relay) localChanges(ctx context.Context, rows port.RowReader, table string, after uint64, wait time.Duration,
 ) (port.Snapshot, error) {
-	c := &pendingCall{waits: true}
+	c := &pendingCall{waits: true, direct: rows == r.store}
 	ctx, end := r.startCall(ctx, r.self, c)
 	defer end()
 	s, err := rows.Changes(ctx, table, after, wait)
@@ -270,8 +271,17 @@
 	urgent  bool // see Table.UrgentKey
 }
 
-// tableReader returns what this VM reads tables from when it makes a call itself: the hub if the VM is an agent, else the store.
-func (r *Relay) tableReader() port.RowReader {
+// UrgentRows returns the rows whose changes this VM must not miss, as it knows them, if it follows their tables for others.
+func (r *Relay) UrgentRows() []port.Row { return r.hub.urgentRows() }
+
+// RecheckUrgent makes this VM ask the store again for changes of the tables with an urgent row, since it has missed one.
+func (r *Relay) RecheckUrgent() {
+	r.log.Event(event.ChangeMissed)
+	r.hub.recheckUrgent()
+}
+
+// localReader returns what this VM reads tables from when it makes a call itself: the hub if the VM is an agent, else the store.
+func (r *Relay) localReader() port.RowReader {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, a := range r.agents {
