io/entry, core/route: wait between attempts of reads while a primary is replaced, and none on a leaving server

Cause: no position is known during a replacement, so the owner of the old primary failed each attempt with AgeNotMet, left out the replicas, which were out already, and tried again at once until the deadline. The VM had no processor time left for its own calls. No one looked at the server's state between the choice and the sending. Class, loops that try again for a caller: io/entry acquireTarget (spun, mended); runStatement and pinServer end after 4 attempts; runInTransaction and commit wait 15 ms; waitForAdmission 20 ms; io/relay callFirstAvailable ends with the agents; io/watch Follow and io/elect renewAndWait back off; io/grant, io/pool queues and io/front barriers wait for a change. Change: an attempt is repeated at once only if it leaves out one more server. core/route MayRead is asked at the choice, by the VM that holds the connection, and by an owner before it sends a read with an age limit. New: server_choices_total, event 303.

--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -20,6 +20,7 @@
 	RouteRetry         ID = 300
 	RouteNoBarrier     ID = 301
 	RouteShares        ID = 302
+	ManyChoices        ID = 303
 	EndptDown          ID = 400
 	EndptUp            ID = 401
 	EndptPoisoned      ID = 402
@@ -97,6 +98,7 @@
 	{RouteRetry, LayerRoute, "unit of work retried", "None, unless the rate is high; then check the servers that it names."},
 	{RouteNoBarrier, LayerRoute, "barrier for a session not confirmed", "Check which servers of the group can be reached from this data centre."},
 	{RouteShares, LayerRoute, "shares of the servers in reads", "None; the fields show the load that this VM knows of each server, how old that is, and how many units it has sent there."},
+	{ManyChoices, LayerRoute, "statement needed many attempts to get a server", "Look for the group's primary being replaced (705) and for unreachable servers."},
 	{EndptDown, LayerEndpoint, "server unreachable", "Check the server and the network between it and this VM."},
 	{EndptUp, LayerEndpoint, "server reachable", "None."},
 	{EndptPoisoned, LayerEndpoint, "server connection in unknown state closed", "None, unless the rate is high."},
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -285,6 +285,13 @@
 	return "", false
 }
 
+// MayRead reports whether a read that need not run on the primary may be sent to a server: it belongs to the group and is not leaving.
+// Choose may name a primary that is leaving, and a server may leave after it was chosen, so whoever sends the read asks at last.
+func (t *Table) MayRead(address string) bool {
+	s := t.serverByAddress(address)
+	return s != nil && !s.info.Leaving
+}
+
 // replicasFor returns the replicas, other than those in excluded, that can probably run a unit with need n.
 func (t *Table) replicasFor(now time.Time, n Need, excluded []string) []*server {
 	var replicas []*server
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -144,6 +144,13 @@
 	}
 }
 
+func ExampleTable_MayRead() {
+	t := newGroup(2)
+	t.RecordReport(start, work.ServerInfo{Address: "s0", Term: 1, Applied: 10, Role: port.RolePrimary, Leaving: true})
+	fmt.Println(t.MayRead("s0"), t.MayRead("s1"), t.MayRead("gone"))
+	// Output: false true false
+}
+
 func ExampleTable_Choose() {
 	t := NewTable("east", []Member{NewMember("10.0.0.1:5432", "east", 5), NewMember("10.0.0.2:5432", "west", 5)}, NewCosts(1, 4))
 	now := time.Unix(0, 0)
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -40,6 +40,8 @@
 	workspaces      []string // if it is not nil, callers are admitted by key
 	version         int
 	promoteRequests []rows.PromoteRequest
+	metrics         map[string]string         // address by VM
+	onPromote       func()                    // called before a promotion, if it is not nil
 	slots           int                       // of each server
 	syncReplicas    string                    // of the group, in the configuration
 	wrap            func(net.Conn) entry.Conn // of the connections of callers to VMs that start from now on
@@ -77,7 +79,7 @@
 
 func newDeployment(t *testing.T) *deployment {
 	s := &deployment{
-		t: t, vms: make(map[string]*edge.Edge), callers: make(map[string]string), conns: make(map[string]*caller),
+		t: t, vms: make(map[string]*edge.Edge), callers: make(map[string]string), metrics: make(map[string]string), conns: make(map[string]*caller),
 		slots: 3, syncReplicas: "0", wrap: func(conn net.Conn) entry.Conn { return platform.NewCallerConn(conn) },
 	}
 	var err error
@@ -86,6 +88,9 @@
 	}
 	s.store, err = rows.Start(func(r rows.PromoteRequest) error {
 		s.promoteRequests = append(s.promoteRequests, r)
+		if s.onPromote != nil {
+			s.onPromote()
+		}
 		return s.group.Promote(r.ID)
 	})
 	if err != nil {
@@ -176,9 +181,9 @@
 
 // launchVMWith starts a VM with these adapters.
 func (s *deployment) launchVMWith(name string, adapters edge.Adapters) *edge.Edge {
-	callers := reserveAddress(s.t)
+	callers, metrics := reserveAddress(s.t), reserveAddress(s.t)
 	text := fmt.Sprintf("vm: %s\ndata_centre: dc0\ncallers: %s\nready: %s\nmetrics: %s\npeers: %s\nstore: %s\norders: %s\ngrace_s: 2\nvms: 3\n",
-		name, callers, reserveAddress(s.t), reserveAddress(s.t), reserveAddress(s.t), s.store.Addr(), s.store.Addr())
+		name, callers, reserveAddress(s.t), metrics, reserveAddress(s.t), s.store.Addr(), s.store.Addr())
 	settings, err := edge.Parse("vm.yaml", []byte(text))
 	if err != nil {
 		s.t.Fatal(err)
@@ -196,7 +201,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.vms[name], s.callers[name] = vm, callers
+	s.vms[name], s.callers[name], s.metrics[name] = vm, callers, metrics
 	return vm
 }
 
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -13,6 +13,7 @@
 	CallerBytes       = "caller_bytes"
 	ConnsOpened       = "server_connections_opened_total"
 	ConnsReplaced     = "server_connections_replaced_total"
+	Choices           = "server_choices_total"
 )
 
 // latencyBuckets ranges from a read in the same data centre to the longest statement timeout.
@@ -28,5 +29,6 @@
 		Gauge(CallerBytes, "bytes", "Memory counted for messages, answers and the state of sessions.").
 		Counter(Panics, "panics", "Panics that ended one connection or one call.").
 		Counter(ConnsOpened, "connections", "Connections opened to servers.").
-		Counter(ConnsReplaced, "connections", "Idle connections to servers closed for another workspace.")
+		Counter(ConnsReplaced, "connections", "Idle connections to servers closed for another workspace.").
+		Counter(Choices, "choices", "Attempts of statements to get a server.")
 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -151,7 +151,7 @@
 }
 
 // acquireTarget chooses a server and acquires a connection to it. It tries again until deadline, unless the VM is cut off or the
-// primary is overloaded.
+// primary is overloaded. It tries again at once only if that leaves out one more server, and else waits for a change of the primary.
 func (ss *session) acquireTarget(r layout.Route, writes bool, began, deadline time.Time, tried []string) (target, error) {
 	err := result.New(result.NoServer, "no server of group %s can take the statement", r.Group())
 	for {
@@ -159,6 +159,7 @@
 		if !now.Before(ss.entry.plan().AnswerBy(deadline)) {
 			return target{}, err
 		}
+		ss.choices++
 		t, e := ss.tryAcquire(r, writes, began, deadline, tried)
 		if e == nil {
 			return t, nil
@@ -171,7 +172,8 @@
 			tried = append(slices.Clone(tried), t.server)
 			continue
 		case code == result.AgeNotMet && !t.onPrimary:
-			tried = t.group.Replicas()
+			// No position is known, so no replica can run the read, nor a former primary that was chosen in their place.
+			tried = append(t.group.Replicas(), t.server)
 			continue
 		}
 		tried = nil
@@ -212,6 +214,10 @@
 		Priority: r.Priority(), SessionValues: ss.values, MaxAge: maxAge, ReadOnly: !writes && ss.state != query.Open,
 		Workspace: ss.workspace, SendBackAt: sendBackAt,
 	})
+	if err == nil && !writes && !t.onPrimary && !g.MayRead(id) {
+		t.conn.Release()
+		err = result.New(result.NoServer, "server %s is leaving", id)
+	}
 	if err == nil && maxAge > 0 {
 		err = t.requirePosition(began, maxAge)
 	}
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -26,6 +26,9 @@
 	phaseAnswering // the answer to the request is being sent
 )
 
+// manyChoices is from how many attempts to get a server on a statement is logged: it has waited for most of a second.
+const manyChoices = 50
+
 // defaultTransactionIdleTimeout bounds how long a transaction may be idle if the configuration sets no bound.
 const defaultTransactionIdleTimeout = 10 * time.Second
 
@@ -48,6 +51,7 @@
 	leaderVersion uint64       // version of the record that named the primary when required was recorded
 	closeWhenIdle bool         // the session cannot be served here any more
 	workspace     string       // of the operation that runs; "" if callers need no key
+	choices       int          // attempts of the request that runs to get a server
 
 	tx         transaction
 	rolledBack transaction // rolled back by the caller, but not yet on its server
@@ -182,9 +186,16 @@
 
 // recordResult logs and counts a request that went to a server or failed.
 func (ss *session) recordResult(id string, a answer, began time.Time) {
+	choices := ss.choices
+	ss.choices = 0
 	if a.server == "" && a.code == result.OK {
 		return
 	}
+	ss.entry.deps.Metrics.Counter(Choices).Inc(int64(choices))
+	if choices > manyChoices {
+		ss.entry.deps.Log.Event(event.ManyChoices, zap.String("id", clip(id)), zap.String("database", ss.database),
+			zap.Int("choices", choices), zap.String("message", clip(a.message)))
+	}
 	took := ss.entry.deps.Clock().Sub(began)
 	if ss.tx.onPrimary {
 		a.leaderVersion = ss.tx.primaryUse.Version()
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -187,7 +187,8 @@
 }
 
 // Choose returns the server for a statement with this need, other than those in excluded, and counts the statement as running
-// there. Servers in data centres that cannot be reached are chosen last. It returns false if there is none.
+// there. Servers in data centres that cannot be reached are chosen last. It returns false if there is none, or only a primary that is
+// leaving, which serves no more reads than must run there.
 func (g *Group) Choose(need route.Need, excluded []string) (string, bool) {
 	id, ok, shares := g.choose(need, excluded)
 	if len(shares) > 0 {
@@ -210,6 +211,9 @@
 	if !ok {
 		id, ok = g.table.Choose(now, need, excluded)
 	}
+	if ok && !g.table.MayRead(id) {
+		return "", false, nil
+	}
 	if ok {
 		if len(g.owners) > 0 && g.shareLog.allows(now) {
 			shares = g.table.Shares(now)
@@ -219,6 +223,13 @@
 	return id, ok, shares
 }
 
+// MayRead reports whether a read that need not run on the primary may be sent to a server now.
+func (g *Group) MayRead(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.MayRead(id)
+}
+
 // unreachableServers returns the ids of the servers in data centres that this VM cannot reach. The caller holds mu.
 func (g *Group) unreachableServers() []string {
 	if g.paths == nil {
--- a/io/remote/owner.go
+++ b/io/remote/owner.go
@@ -268,6 +268,10 @@
 		}
 		return errorReply(err, false, failed)
 	}
+	if q.MaxAge > 0 && !g.MayRead(q.Server) {
+		c.Release()
+		return errorReply(result.New(result.NoServer, "server %s is leaving", q.Server), false, false)
+	}
 	g.RecordOrigin(q.Server, q.Place)
 	reply := o.runOn(g, c, q, after, deadline)
 	if q.Kind == kindBegin && reply.Error == 0 && reply.State == query.Open {
--- a/io/remote/remote_test.go
+++ b/io/remote/remote_test.go
@@ -439,6 +439,26 @@
 	g.Expect(r.Rows()).To(gomega.Equal([]string{"one"}))
 }
 
+// Guards against a read that reaches a server which is leaving: it was forwarded before its VM, or the owner, knew so.
+func TestOwnerRefusesReadsOnLeavingServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	servers, owner, v := newPair(t)
+	_, _, err := run(v.acquire(t, "ledger-0"), "w1", "WRITE x one")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	servers.servers.Replicate()
+	s, err := v.group(t).Acquire("ledger-1", pool.AcquireRequest{
+		Timeout: testTimeout, AnswerWithin: testTimeout, Priority: 1, MaxAge: time.Second, ReadOnly: true,
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	servers.store.Put(platform.ServerTable, "ledger-1", fmt.Appendf(nil,
+		`{"service":"ledger","address":%q,"zone":"dc","slots":2,"state":"draining","dbRole":"replica","born":1}`, servers.servers.Server(1).Addr()))
+	g.Eventually(func() bool { return owner.group(t).MayRead("ledger-1") }, testTimeout).Should(gomega.BeFalse())
+	_, sent, err := run(s, "r", "READ x")
+	g.Expect(result.CodeOf(err)).To(gomega.Equal(result.NoServer))
+	g.Expect(sent).To(gomega.BeFalse())
+	g.Expect(servers.servers.Runs()).To(gomega.HaveLen(1))
+}
+
 // Guards against loads of servers that are found out by calls of their own, and against a VM that does not learn them from the
 // answers to its statements.
 func TestLoadsTravelWithAnswers(t *testing.T) {
