io/entry: bound the last answers of a stop, core/notice: shorter paths

Cause: Close sent the last answers one after the other with the list of sessions locked. A caller that reads nothing would hold a stopping VM beyond its grace period. Change: the answers are sent at the same time and waited for 0.1 s, which is part of the reserve that TestLastStepsFitIntoGracePeriod checks. core/notice: the steps that all paths share stand once; the sums are the same. Run: TestCloseDoesNotWaitForCallers (new); go test -race of io/entry, core/notice and the tests of stops in io/edge passed.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -1,5 +1,5 @@
-// Package notice bounds how long a VM may miss a change of the configuration or of the servers. It holds the limits of the calls that show a VM that what
-// it waits for may be lost, and adds them up along each path by which a change reaches a VM.
+// Package notice bounds how long a VM may miss a change of the configuration or of the servers. It holds the limits of the calls that show a
+// VM that what it waits for may be lost, and adds them up along each path by which a change reaches a VM.
 package notice
 
 import (
@@ -86,19 +86,22 @@
 
 // Paths returns the paths that a VM relies on, each with the longest way that a change takes.
 func Paths() []Path {
-	renewal := Step{"the next renewal", lead.RenewInterval + BatchWindow}
-	delayed := Step{"work on a primary that is being replaced", MaxRenewalDelay}
+	// Each path begins with the next renewal, which work on a primary that is being replaced may delay.
+	renewal := []Step{{"the next renewal", lead.RenewInterval + BatchWindow}, {"work on a primary that is being replaced", MaxRenewalDelay}}
 	batch := Step{"the agent's batch of renewals", BatchWindow}
 	doubt := Step{"the renewal's answer", DoubtAfter}
 	direct := Step{"the VM's own read on a silent connection", DirectTimeout}
 	agents := Step{"renewals by each agent", lead.MaxAgents * RenewTimeout}
-	reserve := Step{"answers, and the configuration in force", answerReserve}
+	path := func(failure string, bound time.Duration, steps ...Step) Path {
+		all := slices.Concat(renewal, steps, []Step{{"answers, and the configuration in force", answerReserve}})
+		return Path{failure: failure, steps: all, bound: bound}
+	}
 	return []Path{
-		{"agent: the connection that waits for changes is silent", []Step{renewal, delayed, batch, reserve}, MaxDelayAfterSilence},
-		{"agent: all open connections to the store are silent", []Step{renewal, delayed, batch, doubt, reserve}, MaxDelayAfterSilence},
-		{"VM behind an agent: the agent's connection that waits for changes is silent", []Step{renewal, delayed, batch, reserve}, MaxDelayAfterSilence},
-		{"VM behind an agent: the store does not answer its agent, or all of its agents", []Step{renewal, delayed, doubt, reserve}, MaxDelay},
-		{"VM behind an agent: its open connections to the agent and to the store are silent", []Step{renewal, delayed, doubt, direct, reserve}, MaxDelayAfterSilence},
-		{"VM behind an agent: the store answers none of its agents, and a server drains", []Step{renewal, delayed, agents, reserve}, MaxDrainDelay},
+		path("agent: the connection that waits for changes is silent", MaxDelayAfterSilence, batch),
+		path("agent: all open connections to the store are silent", MaxDelayAfterSilence, batch, doubt),
+		path("VM behind an agent: the agent's connection that waits for changes is silent", MaxDelayAfterSilence, batch),
+		path("VM behind an agent: the store does not answer its agent, or all of its agents", MaxDelay, doubt),
+		path("VM behind an agent: its open connections to the agent and to the store are silent", MaxDelayAfterSilence, doubt, direct),
+		path("VM behind an agent: the store answers none of its agents, and a server drains", MaxDrainDelay, agents),
 	}
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -38,10 +38,10 @@
 )
 
 const (
-	// leaveTimeout bounds the last write of a stopping VM, which gives up its lease. With backgroundTimeout it is part of the reserve
-	// of a drain.Plan.
-	leaveTimeout = 250 * time.Millisecond
-	// backgroundTimeout bounds the wait for background goroutines at the end of a stop.
+	// leaveTimeout bounds the last write of a stopping VM, which gives up its lease, lastAnswerTimeout the answers to requests that
+	// still run, and backgroundTimeout the wait for background goroutines. Together they fit into the reserve of a drain.Plan.
+	leaveTimeout      = 250 * time.Millisecond
+	lastAnswerTimeout = 100 * time.Millisecond
 	backgroundTimeout = 150 * time.Millisecond
 	// serverBatchDelay is how long an agent collects changes of servers' entries. Each server writes its entry every second or so,
 	// and a shorter delay costs a call for the entries of some of them.
@@ -288,7 +288,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	e.elector.Stop(ctx)
 	cancel()
-	e.entry.Close()
+	e.entry.Close(lastAnswerTimeout)
 	e.cancel()
 	for _, srv := range e.servers {
 		_ = srv.Close()
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -253,15 +255,30 @@
 }
 
 // Close closes the connections of the sessions that are still open, and tells their callers that the outcome of a request that still
-// runs is unknown. Call it after Stop.
-func (s *Server) Close() {
+// runs is unknown, as far as they read that within timeout. Call it after Stop.
+func (s *Server) Close(timeout time.Duration) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for ss := range s.sessions {
+	open := slices.Collect(maps.Keys(s.sessions))
+	s.mu.Unlock()
+	var answers sync.WaitGroup
+	for _, ss := range open {
 		if ss.claimAnswer() {
 			s.deps.Log.Event(event.StatementCut, zap.String("database", ss.database))
-			_ = ss.conn.SendError(result.ConnectionLost, "this VM has stopped, and the outcome of the request is unknown", query.Idle)
+			answers.Go(func() {
+				_ = ss.conn.SendError(result.ConnectionLost, "this VM has stopped, and the outcome of the request is unknown", query.Idle)
+			})
 		}
+	}
+	answered := make(chan struct{})
+	go func() {
+		answers.Wait()
+		close(answered)
+	}()
+	select {
+	case <-answered:
+	case <-time.After(timeout):
+	}
+	for _, ss := range open {
 		_ = ss.conn.Close()
 	}
 }
--- a/io/entry/serve_test.go
+++ b/io/entry/serve_test.go
@@ -1,12 +1,15 @@
 package entry
 
 import (
+	"net"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"verbenagate/core/budget"
+	"verbenagate/core/query"
+	"verbenagate/core/result"
 	"verbenagate/io/bounds"
 	"verbenagate/io/logs"
 	"verbenagate/io/metric"
@@ -53,3 +56,32 @@
 	g.Expect(conn.deadline).To(gomega.BeTemporally("<", now))
 	g.Expect(conn.deadline.IsZero()).To(gomega.BeFalse())
 }
+
+// blockingConn is a Conn to a caller that reads no answer until the connection is closed.
+type blockingConn struct {
+	Conn
+	closed chan struct{}
+}
+
+func (c *blockingConn) SendError(result.Code, string, query.State) error {
+	<-c.closed
+	return net.ErrClosed
+}
+
+func (c *blockingConn) Close() error {
+	close(c.closed)
+	return nil
+}
+
+// Guards against a VM that is killed at the end of its grace period since a caller whose statement still runs reads no answer.
+func TestCloseDoesNotWaitForCallers(t *testing.T) {
+	s := &Server{deps: Dependencies{Log: logs.Nop()}, sessions: make(map[*session]struct{})}
+	conn := &blockingConn{closed: make(chan struct{})}
+	ss := newSession(s, conn, "ledger", "")
+	s.sessions[ss] = struct{}{}
+	s.Close(time.Millisecond)
+	<-conn.closed
+	if ss.claimAnswer() {
+		t.Error("the session may still answer the request")
+	}
+}
