core/admit: keep the pace of a queue from diverging when times are out of order

Cause: callers read the clock before they lock the pool, so a start may be earlier than the arrival before it. As the first sample of a pace, a negative time makes the average negative, and the bound of later samples, eight times the average, then pulls it down by 1.35 a start until it overflows. Change: a sample is never below 0. No other average in core bounds its samples by itself. Run: go test ./core/admit passed; TestManyWorkspacesShareFewConnections passed 30 of 30 before the change on this machine (arm64, no -race), so it could not be used as evidence here.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -601,12 +601,12 @@
 	advance float64
 }
 
-// begin records that the first statement waits.
+// begin records that the first statement waits. Callers may read their clocks before they lock the queue, so now may be earlier than since.
 func (p *pace) begin(now time.Time, virtual float64) { p.since, p.virtual = now, virtual }
 
 // start records that a statement starts. Beyond says that a workspace with more than its share has statements that wait for their turn.
 func (p *pace) start(now time.Time, virtual float64, beyond bool) {
-	took, advance := now.Sub(p.since), virtual-p.virtual
+	took, advance := max(now.Sub(p.since), 0), virtual-p.virtual // an average below 0 would bound the next samples from above, and diverge
 	if p.gap == 0 {
 		p.gap = took
 	}
