--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -30,6 +30,36 @@
 	return d/2 + time.Duration(random*float64(d/2))
 }
 
+// Loop spaces the attempts at one operation for a caller. Each failed attempt is followed by a wait for a change of what the caller knows, no
+// longer than the next step of a backoff, so that many operations that cannot be served leave processor time to those that can.
+type Loop struct {
+	backoff  Backoff
+	deadline time.Time
+	waits    int
+}
+
+// NewLoop returns the loop of an operation that may be tried until deadline.
+func NewLoop(b Backoff, deadline time.Time) Loop { return Loop{backoff: b, deadline: deadline} }
+
+// Next returns how long to wait at most for a change before the next attempt, at most until the deadline. It reports false if the deadline
+// has passed. The parameter random is that of Delay.
+func (l *Loop) Next(now time.Time, random float64) (time.Duration, bool) {
+	if !now.Before(l.deadline) {
+		return 0, false
+	}
+	l.waits++
+	return min(l.backoff.Delay(l.waits, random), l.deadline.Sub(now)), true
+}
+
+// Attempts returns how many attempts an operation that begins at the time 0 makes within d at most, if nothing changes.
+func (b Backoff) Attempts(d time.Duration) int {
+	n := 1
+	for at := b.Delay(1, 0); at < d; at += b.Delay(n, 0) {
+		n++
+	}
+	return n
+}
+
 // Jitter returns a random number for Delay.
 func Jitter() float64 { return rand.Float64() }
 
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,3 +69,33 @@
 		gomega.Expect(b.Delay(1, 1)).To(gomega.Equal(2 * time.Millisecond))
 	})
 })
+
+func ExampleLoop() {
+	l := retry.NewLoop(retry.NewBackoff(20*time.Millisecond, 50*time.Millisecond), start.Add(60*time.Millisecond))
+	for now := start; ; {
+		d, ok := l.Next(now, 1)
+		if !ok {
+			break
+		}
+		fmt.Println(d)
+		now = now.Add(d)
+	}
+	// Output:
+	// 20ms
+	// 40ms
+}
+
+// Guards against a bound on attempts that a loop exceeds.
+var _ = ginkgo.Describe("Attempts", func() {
+	ginkgo.It("is what a loop makes with the shortest delays", func() {
+		b := retry.NewBackoff(15*time.Millisecond, 480*time.Millisecond)
+		l, n := retry.NewLoop(b, deadline), 1
+		for now := start; ; n++ {
+			d, _ := l.Next(now, 0)
+			if now = now.Add(d); !now.Before(deadline) {
+				break
+			}
+		}
+		gomega.Expect(b.Attempts(deadline.Sub(start))).To(gomega.Equal(n))
+	})
+})
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -178,7 +178,7 @@
 	e.background.Go(func() {
 		// The first lease needs the records. Reading them at once lets VMs that start together find their agents soon.
 		for ctx.Err() == nil && e.reloadRecords(ctx) != nil {
-			e.sleep(ctx, minRenewRetryDelay)
+			every.Sleep(ctx, minRenewRetryDelay)
 		}
 		for ctx.Err() == nil {
 			e.renewAndWait(ctx)
@@ -193,7 +193,7 @@
 	e.background.Go(func() {
 		for ctx.Err() == nil {
 			e.readMembers(ctx)
-			e.sleep(ctx, e.memberReadDelay())
+			every.Sleep(ctx, e.memberReadDelay())
 		}
 	})
 }
@@ -391,15 +391,6 @@
 	}
 }
 
-func (e *Elector) sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 type follower Elector
 
 // Reset implements watch.Follower.
@@ -513,13 +504,7 @@
 			e.log.Event(event.StoreDown, zap.String("table", memberTable), zap.Error(err))
 		}
 	}
-	t := time.NewTimer(next)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-e.renewSignal:
-	case <-t.C:
-	}
+	every.Wait(ctx, next, e.renewSignal)
 }
 
 // renewLease confirms the newest epoch that this VM has seen and extends the lease. It returns when the next renewal is due, 0 if
@@ -574,7 +559,7 @@
 		if !busy {
 			return recordsRead
 		}
-		e.sleep(ctx, 10*time.Millisecond)
+		every.Sleep(ctx, 10*time.Millisecond)
 	}
 	return false
 }
--- a/io/elect/move.go
+++ b/io/elect/move.go
@@ -16,6 +16,7 @@
 	"verbenagate/core/lead"
 	"verbenagate/core/point"
 	"verbenagate/core/port"
+	"verbenagate/io/every"
 	"verbenagate/io/pool"
 )
 
@@ -238,7 +239,7 @@
 			if m.oldPrimaryServes() {
 				lastAnswer.Store(&sent)
 			}
-			m.e.sleep(pollCtx, oldPrimaryPollInterval)
+			every.Sleep(pollCtx, oldPrimaryPollInterval)
 		}
 	})
 	began := m.e.clock()
@@ -301,7 +302,7 @@
 				return err
 			}
 		}
-		m.e.sleep(ctx, confirmPollInterval)
+		every.Sleep(ctx, confirmPollInterval)
 	}
 	return ctx.Err()
 }
@@ -344,7 +345,7 @@
 				return lead.Candidate{}, err
 			}
 		}
-		m.e.sleep(ctx, statusRoundDelay)
+		every.Sleep(ctx, statusRoundDelay)
 	}
 	return lead.Candidate{}, ctx.Err()
 }
@@ -435,7 +436,7 @@
 		if _, known := m.pg.Pool(id); !known {
 			return 0, false
 		}
-		m.e.sleep(ctx, statusRoundDelay)
+		every.Sleep(ctx, statusRoundDelay)
 	}
 	return 0, false
 }
--- a/io/every/every.go
+++ b/io/every/every.go
@@ -1,4 +1,4 @@
-// Package every runs functions at regular intervals.
+// Package every runs functions at regular intervals, and waits between the attempts of loops that try again.
 package every
 
 import (
@@ -19,3 +19,17 @@
 		}
 	}
 }
+
+// Wait waits until changed is closed or sent to, for at most d, or until ctx ends.
+func Wait(ctx context.Context, d time.Duration, changed <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-t.C:
+	}
+}
+
+// Sleep waits for d or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) { Wait(ctx, d, nil) }
--- a/io/every/every_test.go
+++ b/io/every/every_test.go
@@ -20,3 +20,9 @@
 	fmt.Println(n >= 3)
 	// Output: true
 }
+
+func ExampleWait() {
+	changed := make(chan struct{})
+	close(changed)
+	every.Wait(context.Background(), time.Hour, changed)
+}
--- a/io/front/cost.go
+++ b/io/front/cost.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"verbenagate/core/route"
+	"verbenagate/io/every"
 )
 
 const (
@@ -45,7 +46,7 @@
 		return
 	}
 	a.waitedForReplica = true
-	sleep(ctx, wait)
+	every.Sleep(ctx, wait)
 }
 
 // replicaWait returns how long a read that would go to the primary has to wait for a replica to catch up, and whether it
--- a/io/front/session.go
+++ b/io/front/session.go
@@ -18,6 +18,7 @@
 	"verbenagate/core/stmt"
 	"verbenagate/core/work"
 	"verbenagate/io/caller"
+	"verbenagate/io/every"
 )
 
 // Session is the session of one caller's connection. Calls must not overlap, except that Cancel may be called at any time.
@@ -347,17 +348,7 @@
 }
 
 func (s *Session) backOff(ctx context.Context, n int) {
-	sleep(ctx, s.front.backoff.Delay(n, retry.Jitter()))
-}
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	every.Sleep(ctx, s.front.backoff.Delay(n, retry.Jitter()))
 }
 
 // runAttempt makes one attempt on the best server according to the routing table.
--- a/io/watch/directory.go
+++ b/io/watch/directory.go
@@ -12,6 +12,7 @@
 	"verbenagate/core/event"
 	"verbenagate/core/layout"
 	"verbenagate/core/port"
+	"verbenagate/io/every"
 	"verbenagate/io/logs"
 )
 
@@ -103,7 +104,7 @@
 	})
 	d.background.Go(func() {
 		for ctx.Err() == nil {
-			sleep(ctx, 200*time.Millisecond)
+			every.Sleep(ctx, 200*time.Millisecond)
 			d.removeExpired()
 		}
 	})
--- a/io/watch/follow.go
+++ b/io/watch/follow.go
@@ -10,6 +10,7 @@
 	"verbenagate/core/port"
 	"verbenagate/core/result"
 	"verbenagate/core/retry"
+	"verbenagate/io/every"
 )
 
 const (
@@ -61,7 +62,7 @@
 			}
 			failures++
 			f.CallFailed(err)
-			sleep(ctx, backoff.Delay(failures, retry.Jitter()))
+			every.Sleep(ctx, backoff.Delay(failures, retry.Jitter()))
 		default:
 			err := deliver(f, sent, s, listed)
 			if err != nil && !listed {
@@ -73,7 +74,7 @@
 				listed = false
 				failures++
 				f.CallFailed(err)
-				sleep(ctx, backoff.Delay(failures, retry.Jitter()))
+				every.Sleep(ctx, backoff.Delay(failures, retry.Jitter()))
 				continue
 			}
 			failures = 0
@@ -83,7 +84,7 @@
 			}
 			version = max(version, s.Version)
 			if len(s.Rows) > 0 && batchDelay > 0 {
-				sleep(ctx, batchDelay)
+				every.Sleep(ctx, batchDelay)
 			}
 		}
 	}
@@ -120,12 +121,3 @@
 	}
 	return kept
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
