io/entry, core/fresh: waiting reads leave a small VM its processor time

What was seen: 500 reads with an age limit at once, while a primary is replaced, used 1.72 and 1.83 s of processor time in 4 s (trials on arm64 with the delays as they were). Cause: the wait between attempts did not grow, and each attempt asked another VM for a position that could not be known. Change: retry.Loop from 15 to 480 ms, ended by a change of the primary or the lease; one read in 240 ms probes whether a position is known.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -30,8 +30,8 @@
 	return d/2 + time.Duration(random*float64(d/2))
 }
 
-// Loop spaces the attempts at one operation for a caller. Each failed attempt is followed by a wait for a change of what the caller knows, no
-// longer than the next step of a backoff, so that many operations that cannot be served leave processor time to those that can.
+// Loop spaces the attempts at one operation for a caller. Each failed attempt is followed by a wait for a change, no longer than the next
+// step of a backoff, so that many operations that cannot be served leave processor time to those that can.
 type Loop struct {
 	backoff  Backoff
 	deadline time.Time
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -42,6 +42,7 @@
 	promoteRequests []rows.PromoteRequest
 	metrics         map[string]string         // address by VM
 	onPromote       func()                    // called before a promotion, if it is not nil
+	promotion       chan struct{}             // of replacePrimary
 	slots           int                       // of each server
 	syncReplicas    string                    // of the group, in the configuration
 	grace           time.Duration             // of VMs that start from now on
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -13,16 +14,23 @@
 	"verbenagate/core/point"
 	"verbenagate/core/query"
 	"verbenagate/core/result"
+	"verbenagate/core/retry"
 	"verbenagate/core/route"
 	"verbenagate/io/elect"
+	"verbenagate/io/every"
 	"verbenagate/io/pool"
 )
 
 const (
 	// answerReserve is the part of a statement's timeout that is kept for sending the answer to the caller.
 	answerReserve = 20 * time.Millisecond
-	// retryDelay is the time between attempts while no server can take a statement.
-	retryDelay = 15 * time.Millisecond
+	// retryDelay and maxRetryDelay bound the time between attempts while no server can take a statement, unless the primary or the lease
+	// changes. 500 statements that wait so take half of the time of a VM of a fifth of a core.
+	retryDelay    = 15 * time.Millisecond
+	maxRetryDelay = 480 * time.Millisecond
+	// maxSlotDelay is the longest time between attempts at a statement of a transaction on an overloaded server. The transaction holds
+	// locks there.
+	maxSlotDelay = 30 * time.Millisecond
 	// rollbackTimeout bounds the rollback of a transaction on its server.
 	rollbackTimeout = 500 * time.Millisecond
 	// replicaReadTimeShare is the share of a read's remaining time that one attempt on a replica may take, so that time is left
@@ -34,6 +42,16 @@
 	maxAttempts = 4
 )
 
+var (
+	// retryBackoff is that of a statement that no server can take.
+	retryBackoff = retry.NewBackoff(retryDelay, maxRetryDelay)
+	// slotBackoff is that of a statement of a transaction on an overloaded server.
+	slotBackoff = retry.NewBackoff(retryDelay, maxSlotDelay)
+)
+
+// Attempts returns how often a server is looked for within d, at most, for a statement that none can take while nothing changes.
+func Attempts(d time.Duration) int { return retryBackoff.Attempts(d) }
+
 // statement is a caller's read or write.
 type statement struct {
 	id       string
@@ -51,6 +69,7 @@
 	primaryUse elect.PrimaryUse
 	onPrimary  bool
 	required   point.Point
+	maxAge     time.Duration // by which a position was to be found out; 0 if none was
 }
 
 // release gives back the connection and the right to use the primary.
@@ -92,8 +111,9 @@
 	deadline := now.Add(r.Timeout() - answerReserve)
 	a := errorAnswer(result.NoServer, "no server can take the statement")
 	var tried triedServers
+	loop := retry.NewLoop(retryBackoff, deadline)
 	for n, limit := 1, maxAttempts; n <= limit; n++ {
-		t, err := ss.acquireTarget(r, st.writes, now, deadline, tried.all())
+		t, err := ss.acquireTarget(r, st.writes, now, deadline, tried.all(), &loop)
 		if err != nil {
 			if a.tries == 0 {
 				a = answerFromError(err)
@@ -110,7 +130,7 @@
 			zap.String("message", a.message))
 		switch {
 		case t.onPrimary:
-			ss.waitForPrimaryChange(deadline)
+			ss.waitForPrimaryChange(&loop)
 		case a.sentBack:
 			tried.sentBack, limit = a.server, limit+1
 		case a.code == result.AgeNotMet:
@@ -140,19 +160,19 @@
 // better than a refusal.
 func (t *triedServers) add(server string) { t.failed, t.sentBack = append(t.failed, server), "" }
 
-// waitForPrimaryChange waits until the primary or the lease changes, for at most retryDelay and not beyond deadline.
-func (ss *session) waitForPrimaryChange(deadline time.Time) {
-	t := time.NewTimer(min(retryDelay, max(deadline.Sub(ss.entry.deps.Clock()), 0)))
-	defer t.Stop()
-	select {
-	case <-ss.entry.deps.Elector.Changed():
-	case <-t.C:
+// waitForPrimaryChange waits until the primary or the lease changes, at most until the loop's next attempt is due. It reports whether the
+// loop goes on.
+func (ss *session) waitForPrimaryChange(l *retry.Loop) bool {
+	d, ok := l.Next(ss.entry.deps.Clock(), retry.Jitter())
+	if ok {
+		every.Wait(context.Background(), d, ss.entry.deps.Elector.Changed())
 	}
+	return ok
 }
 
 // acquireTarget chooses a server and acquires a connection to it. It tries again until deadline, unless the VM is cut off or the
 // primary is overloaded. It tries again at once only if that leaves out one more server, and else waits for a change of the primary.
-func (ss *session) acquireTarget(r layout.Route, writes bool, began, deadline time.Time, tried []string) (target, error) {
+func (ss *session) acquireTarget(r layout.Route, writes bool, began, deadline time.Time, tried []string, l *retry.Loop) (target, error) {
 	err := result.New(result.NoServer, "no server of group %s can take the statement", r.Group())
 	for {
 		now := ss.entry.deps.Clock()
@@ -177,7 +197,9 @@
 			continue
 		}
 		tried = nil
-		ss.waitForPrimaryChange(deadline)
+		if !ss.waitForPrimaryChange(l) {
+			return target{}, err
+		}
 	}
 }
 
@@ -190,11 +212,10 @@
 	}
 	t := target{group: g}
 	id, sendBackAt := "", 0
-	var maxAge time.Duration
+	use, usable := ss.entry.deps.Elector.AcquirePrimary(r.Group())
 	if !writes {
-		id, t.required, maxAge, sendBackAt = ss.chooseReadServer(g, r, began, tried)
+		id, t.required, t.maxAge, sendBackAt = ss.chooseReadServer(g, r, began, tried, usable)
 	}
-	use, usable := ss.entry.deps.Elector.AcquirePrimary(r.Group())
 	if id == "" || (usable && id == use.Server()) {
 		if !usable {
 			return target{}, ss.noPrimaryError(r)
@@ -202,7 +223,7 @@
 		if id == "" {
 			g.Started(use.Server())
 		}
-		t.primaryUse, t.onPrimary, t.required, maxAge, id, sendBackAt = use, true, point.Point{}, 0, use.Server(), 0
+		t.primaryUse, t.onPrimary, t.required, t.maxAge, id, sendBackAt = use, true, point.Point{}, 0, use.Server(), 0
 	} else if usable {
 		use.Release()
 	}
@@ -211,15 +232,15 @@
 	var err error
 	t.conn, err = g.Acquire(id, pool.AcquireRequest{
 		Timeout: ss.attemptTimeout(ss.entry.plan().AnswerBy(deadline), t.onPrimary), AnswerWithin: usefulTimeLeft(r, deadline.Sub(requestedAt)),
-		Priority: r.Priority(), SessionValues: ss.values, MaxAge: maxAge, ReadOnly: !writes && ss.state != query.Open,
+		Priority: r.Priority(), SessionValues: ss.values, MaxAge: t.maxAge, ReadOnly: !writes && ss.state != query.Open,
 		Workspace: ss.workspace, SendBackAt: sendBackAt,
 	})
 	if err == nil && !writes && !t.onPrimary && !g.MayRead(id) {
 		t.conn.Release()
 		err = result.New(result.NoServer, "server %s is leaving", id)
 	}
-	if err == nil && maxAge > 0 {
-		err = t.requirePosition(began, maxAge)
+	if err == nil && t.maxAge > 0 {
+		err = t.requirePosition(began)
 	}
 	if err == nil {
 		return t, nil
@@ -235,15 +256,16 @@
 	return t, err
 }
 
-// requirePosition sets the position that a read which began at began must see for its data to be no older than maxAge, if the
+// requirePosition sets the position that a read which began at began must see for its data to be no older than its age limit, if the
 // read runs on a connection of this VM. Otherwise the server's owner finds out the position. It releases the connection if it
 // returns an error.
-func (t *target) requirePosition(began time.Time, maxAge time.Duration) error {
+func (t *target) requirePosition(began time.Time) error {
 	c, local := t.conn.(*pool.Conn)
 	if !local {
 		return nil
 	}
-	required, known := t.group.Required(began, maxAge)
+	required, known := t.group.Required(began, t.maxAge)
+	t.group.RecordPositionKnown(t.maxAge, known)
 	if !known {
 		c.Release()
 		return result.New(result.AgeNotMet, "no position of the primary of the group of server %s is known", t.server)
@@ -252,6 +274,19 @@
 	return nil
 }
 
+// recordPositionKnown records whether the owner of the server has found a position for a read that needs one, if the answer says so.
+func (t *target) recordPositionKnown(r exec.Result, err error) {
+	if t.maxAge == 0 {
+		return
+	}
+	switch {
+	case err == nil && r.Code() == result.OK:
+		t.group.RecordPositionKnown(t.maxAge, true)
+	case err == nil && r.Code() == result.AgeNotMet, err != nil && result.CodeOf(err) == result.AgeNotMet:
+		t.group.RecordPositionKnown(t.maxAge, false)
+	}
+}
+
 // usefulTimeLeft returns how much longer an answer is useful to the caller if left remains of the statement's timeout. An answer
 // after the route's target latency is worth little.
 func usefulTimeLeft(r layout.Route, left time.Duration) time.Duration {
@@ -285,9 +320,9 @@
 }
 
 // chooseReadServer chooses a server for a read. It returns the server's id and the log position that it must have applied, or ""
-// if only the primary can run the read. If maxAge is not 0, the server must besides have a position that is to be found out. For
-// sendBackAt, see pool.AcquireRequest.
-func (ss *session) chooseReadServer(g *pool.Group, r layout.Route, began time.Time, tried []string,
+// if only the primary can run the read. If maxAge is not 0, the server must besides have a position that is to be found out. It then is not
+// asked for while other reads find none, unless the primary can be used. For sendBackAt, see pool.AcquireRequest.
+func (ss *session) chooseReadServer(g *pool.Group, r layout.Route, began time.Time, tried []string, primaryUsable bool,
 ) (id string, required point.Point, maxAge time.Duration, sendBackAt int) {
 	if r.Kind() == layout.Primary {
 		return "", point.Point{}, 0, 0
@@ -310,6 +345,9 @@
 	if required.IsZero() {
 		need = route.NewMaxAge(maxAge)
 	}
+	if maxAge > 0 && !primaryUsable && !g.MayAskPosition(maxAge) {
+		return "", point.Point{}, 0, 0
+	}
 	id, ok := g.Choose(need, tried)
 	if !ok {
 		return "", point.Point{}, 0, 0
@@ -333,6 +371,7 @@
 	now := ss.entry.deps.Clock()
 	requestFailed := err != nil
 	t.group.Finished(t.conn.Server(), t.conn.Broken())
+	t.recordPositionKnown(res, err)
 	if requestFailed && !sent && !t.conn.Broken() {
 		a.code, a.message, a.sentBack = result.CodeOf(err), result.Message(err), result.HasCause(err, pool.ErrSentBack)
 		return a, (!t.onPrimary || ownerChanged(a.code)) && now.Before(deadline)
@@ -441,6 +480,7 @@
 		return ss.failTransaction(answerFromError(err))
 	}
 	a := answer{server: ss.tx.conn.Server(), owner: ss.tx.conn.Owner()}
+	loop := retry.NewLoop(slotBackoff, deadline.Add(-retryDelay))
 	for n := 1; ; n++ {
 		a.tries = n
 		if ss.tx.onPrimary && !ss.tx.primaryUse.Valid() {
@@ -461,15 +501,23 @@
 		case res.Code() == result.OK:
 			ss.tx.wrote = ss.tx.wrote || st.writes
 			return a
-		case res.Code() == result.Overloaded && res.State() == query.Open && ss.entry.deps.Clock().Add(retryDelay).Before(deadline):
-			time.Sleep(retryDelay)
-		default:
-			if result.Lookup(res.Code()).Outcome() == result.NotRun {
-				a.code = result.RolledBack
-			}
-			return ss.failTransaction(a)
+		case res.Code() == result.Overloaded && res.State() == query.Open && ss.waitForSlot(&loop):
+			continue
+		}
+		if result.Lookup(res.Code()).Outcome() == result.NotRun {
+			a.code = result.RolledBack
 		}
+		return ss.failTransaction(a)
+	}
+}
+
+// waitForSlot waits before the server of the open transaction, which was overloaded, is asked again. It reports whether the loop goes on.
+func (ss *session) waitForSlot(l *retry.Loop) bool {
+	d, ok := l.Next(ss.entry.deps.Clock(), retry.Jitter())
+	if ok {
+		every.Sleep(context.Background(), d)
 	}
+	return ok
 }
 
 // pinServer begins the transaction on a server and keeps the connection for it. It does nothing if the transaction has one.
@@ -479,9 +527,10 @@
 	}
 	err := result.New(result.NoServer, "no server can take the transaction")
 	var tried triedServers
+	loop := retry.NewLoop(retryBackoff, deadline)
 	for n, limit := 1, maxAttempts; n <= limit && ss.entry.deps.Clock().Before(deadline); n++ {
 		r := ss.tx.route
-		t, e := ss.acquireTarget(r, !ss.tx.readOnly, ss.tx.began, deadline, tried.all())
+		t, e := ss.acquireTarget(r, !ss.tx.readOnly, ss.tx.began, deadline, tried.all(), &loop)
 		if e != nil {
 			return e
 		}
@@ -505,7 +554,7 @@
 			return err
 		}
 		if t.onPrimary {
-			ss.waitForPrimaryChange(deadline)
+			ss.waitForPrimaryChange(&loop)
 		}
 	}
 	return err
@@ -520,6 +569,7 @@
 	}
 	requestedAt := ss.entry.deps.Clock()
 	res, sent, err := t.conn.Do(timeout, exec.NewBegin(ss.tx.readOnly, t.required))
+	t.recordPositionKnown(res, err)
 	if t.onPrimary && (sent || t.conn.Broken()) && !ownerLost(err) {
 		ss.entry.deps.Elector.RecordAnswer(ss.tx.route.Group(), t.conn.Server(), requestedAt, err == nil)
 	}
@@ -555,6 +605,7 @@
 		return errorAnswer(result.RolledBack, result.Message(err))
 	}
 	a := answer{server: ss.tx.conn.Server(), owner: ss.tx.conn.Owner()}
+	loop := retry.NewLoop(slotBackoff, deadline.Add(-retryDelay))
 	for n := 1; ; n++ {
 		a.tries = n
 		if ss.tx.onPrimary && !ss.tx.primaryUse.Valid() {
@@ -576,8 +627,7 @@
 			a.code, a.message = ss.unansweredCommitCode(sent), err.Error()
 			break
 		}
-		if res.Code() == result.Overloaded && res.State() == query.Open && ss.entry.deps.Clock().Add(retryDelay).Before(deadline) {
-			time.Sleep(retryDelay)
+		if res.Code() == result.Overloaded && res.State() == query.Open && ss.waitForSlot(&loop) {
 			continue
 		}
 		a = ss.commitAnswer(a, res, requestedAt)
--- a/io/pool/group.go
+++ b/io/pool/group.go
@@ -49,6 +49,7 @@
 	members       []layout.Server
 	table         *route.Table
 	history       fresh.PositionHistory
+	probe         fresh.Probe
 	leader        string
 	leaderVersion uint64                   // version of the record that names the leader
 	owners        map[string][]lead.Member // by server; empty if each VM uses connections of its own
@@ -183,6 +184,7 @@
 	}
 	g.leader = id
 	g.history.Reset()
+	g.probe.Reset()
 	g.rebuildTable()
 }
 
@@ -266,6 +268,25 @@
 	return g.history.Required(now, age)
 }
 
+// MayAskPosition reports whether a read with this age limit may be sent although this VM cannot use the primary, so that its owner may
+// find no position for it.
+func (g *Group) MayAskPosition(age time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.probe.Allows(g.clock(), age)
+}
+
+// RecordPositionKnown records whether a position was known for a read with this age limit.
+func (g *Group) RecordPositionKnown(age time.Duration, known bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if known {
+		g.probe.Reset()
+	} else {
+		g.probe.Failed(g.clock(), age)
+	}
+}
+
 // RecordPosition records the log position that a server returned to a request sent at requestedAt. The parameter isPrimary says
 // that the server was certainly the primary when it answered.
 func (g *Group) RecordPosition(id string, requestedAt time.Time, p point.Point, isPrimary bool) {
