--- a/lab/rows/rows.go
+++ b/lab/rows/rows.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -79,6 +80,15 @@
 	fault          Fault
 	delayed        []change
 	calls          map[string]int
+	era            uint64
+	backup         image
+}
+
+// image is a copy of the store.
+type image struct {
+	rows    map[key]row
+	version uint64
+	log     []row
 }
 
 // Start starts a store. It calls onPromote for each promotion request, which fails with its error.
@@ -147,6 +157,30 @@
 	s.notifyWaiters()
 }
 
+// Backup makes the copy from which Restore brings the store back.
+func (s *Store) Backup() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backup = image{rows: maps.Clone(s.rows), version: s.version, log: slices.Clone(s.log)}
+}
+
+// Restore brings the store back from the copy that Backup made, and begins a new era: what has been written since is gone, and versions are
+// given out again. The feeds that wait are answered in the new era.
+func (s *Store) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.rows, s.version, s.log = maps.Clone(s.backup.rows), s.backup.version, slices.Clone(s.backup.log)
+	s.notifyWaiters()
+}
+
+// Era returns how often the store has come back from a copy.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Put writes a row without conditions, as an operator or a server does.
 func (s *Store) Put(table, k string, value []byte) {
 	s.mu.Lock()
@@ -226,6 +260,7 @@
 	s.mu.Unlock()
 	switch fault {
 	case FaultDown:
+		setEra(w, s.Era())
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return false
 	case FaultSilent:
@@ -240,7 +275,16 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (s *Store) reply(w http.ResponseWriter, status int, rows []row, version uint64) {
+// setEra sets the header with the era, which a store that never came back from a copy leaves out.
+func setEra(w http.ResponseWriter, era uint64) {
+	if era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	}
+}
+
+// reply answers with rows as of a version in an era.
+func (s *Store) reply(w http.ResponseWriter, status int, rows []row, version, era uint64) {
+	setEra(w, era)
 	if rows == nil {
 		rows = []row{}
 	}
@@ -262,7 +306,7 @@
 			rows = append(rows, v)
 		}
 	}
-	version := s.version
+	version, era := s.version, s.era
 	s.mu.Unlock()
 	slices.SortFunc(rows, func(a, b row) int {
 		if a.Key < b.Key {
@@ -270,7 +314,7 @@
 		}
 		return 1
 	})
-	s.reply(w, http.StatusOK, rows, version)
+	s.reply(w, http.StatusOK, rows, version, era)
 }
 
 func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
@@ -288,7 +332,8 @@
 	defer timeout.Stop()
 	for {
 		s.mu.Lock()
-		rows, dropped, fault, changed, version := s.changesAfter(q.Get("table"), after), after < s.droppedVersion, s.fault, s.changed, s.version
+		rows, fault, changed, version, era := s.changesAfter(q.Get("table"), after), s.fault, s.changed, s.version, s.era
+		dropped := after < s.droppedVersion || after > version
 		s.mu.Unlock()
 		switch {
 		case fault == FaultDown:
@@ -297,16 +342,17 @@
 		case fault == FaultSilent:
 			loseReply(r)
 		case dropped:
+			setEra(w, era)
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(rows) > 0:
-			s.reply(w, http.StatusOK, rows, version)
+			s.reply(w, http.StatusOK, rows, version, era)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
-			s.reply(w, http.StatusOK, nil, version)
+			s.reply(w, http.StatusOK, nil, version, era)
 			return
 		case <-r.Context().Done():
 			return
@@ -341,16 +387,16 @@
 		panic(http.ErrAbortHandler)
 	}
 	current, ok := s.apply(c)
-	version, fault := s.version, s.fault
+	version, era, fault := s.version, s.era, s.fault
 	s.mu.Unlock()
 	if fault == FaultReplyLost {
 		panic(http.ErrAbortHandler)
 	}
 	if !ok {
-		s.reply(w, http.StatusPreconditionFailed, slices.DeleteFunc(current, func(r row) bool { return r.Version == nil }), version)
+		s.reply(w, http.StatusPreconditionFailed, slices.DeleteFunc(current, func(r row) bool { return r.Version == nil }), version, era)
 		return
 	}
-	s.reply(w, http.StatusOK, nil, version)
+	s.reply(w, http.StatusOK, nil, version, era)
 }
 
 func (s *Store) promote(w http.ResponseWriter, r *http.Request) {
