platform, io/elect, io/watch, io/relay: go on when the store comes back from a copy

Cause: every decision took an acknowledged write for final and a version for unique. After a restore the epoch that a VM knew was above the store's, so no lease could be renewed; a record that was written in the lost seconds was gone from the store although the VMs used it; a server that had left came back. A new era ends all calls for changes and makes every reader list in full; an older answer is dropped; a transaction over two eras is unknown. io/elect keeps what a VM knows of primaries, writes lost records again (event 720) and holds replacements back for 6.1 s, and the use of primaries by VMs without a lease (core/lead.Restore). io/watch holds back older entries of servers (722). Metrics for each; 721 names both positions.

--- a/cmd/verbenaentry/main.go
+++ b/cmd/verbenaentry/main.go
@@ -57,7 +57,7 @@
 	account := bounds.NewAccount(s.Limits().Bytes())
 	store := platform.NewStore(s.Store(), s.Orders())
 	return edge.Adapters{
-		Rows: store, Orders: store, Dialer: platform.NewDialer(s.VM()).WithMemory(account.OpenForServer), Account: account,
+		Rows: store, Eras: store, Orders: store, Dialer: platform.NewDialer(s.VM()).WithMemory(account.OpenForServer), Account: account,
 		Source: watch.Source{
 			ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, ServerTable: platform.ServerTable,
 			ParseConfig: platform.ParseConfig, ParseServer: platform.ParseServer,
--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -65,6 +65,9 @@
 	MembersRefused     ID = 717
 	AgentInDoubt       ID = 718
 	ChangeMissed       ID = 719
+	RecordRewritten    ID = 720
+	EraChanged         ID = 721
+	EntryHeldBack      ID = 722
 	ConfigApplied      ID = 800
 	ConfigOlder        ID = 801
 	ConfigRefused      ID = 802
@@ -143,6 +146,9 @@
 	{MembersRefused, LayerFailover, "invalid row among the leases of VMs", "Find the program that wrote the row; VMs are not affected, but changes of a primary take the duration of a lease while it exists."},
 	{AgentInDoubt, LayerFailover, "renewal by agent VM unanswered; the VM reads the configuration from the store itself", "None, unless it repeats; then check that VM and its network path to the store."},
 	{ChangeMissed, LayerFailover, "a renewal showed that a change of the configuration was missed; the store is asked again", "None, unless it repeats; then check the connections of this VM to the store."},
+	{RecordRewritten, LayerFailover, "the record of a primary that the store had lost was written again", "None: the store came back from a copy (721)."},
+	{EraChanged, LayerFailover, "the store has come back from a copy; everything is read again", "Check that operators have written their configuration again. Primaries are replaced again after 6.1 s."},
+	{EntryHeldBack, LayerFailover, "the entry of a server in a copy of the store is older than what is known of the server, and was not used", "None, unless the server is in use: then it has not written its entry since."},
 	{ConfigApplied, LayerConfig, "configuration revision in force", "None."},
 	{ConfigOlder, LayerConfig, "store holds an older configuration", "Find out why the store holds an older state; the VMs keep the newer configuration."},
 	{ConfigRefused, LayerConfig, "configuration change refused", "Correct the errors listed, or base the change on the current revision."},
--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -182,6 +182,11 @@
 // Primary reports whether the server claims to be the primary of its group.
 func (s Server) Primary() bool { return s.primary }
 
+// Precedes reports whether s is an entry that the server wrote before known: of an earlier process, or from before it began to leave.
+func (s Server) Precedes(known Server) bool {
+	return s.born < known.born || s.born == known.born && known.draining && !s.draining
+}
+
 // StartMillis returns the server's start time in Unix milliseconds, or 0 if it is unknown.
 func (s Server) StartMillis() int64 { return s.born }
 
--- a/core/layout/layout_test.go
+++ b/core/layout/layout_test.go
@@ -100,3 +100,29 @@
 	g.Expect(north.Limited()).To(gomega.BeTrue())
 	g.Expect(south.Limited()).To(gomega.BeFalse())
 }
+
+// Guards against an entry from a copy of the store that brings back a server's earlier process, or one that serves although it leaves.
+func TestPrecedes(t *testing.T) {
+	server := func(born int64, draining bool) Server {
+		return NewServer("s", "g", "10.0.0.1:1", "dc0", 1, draining, false, born)
+	}
+	known := server(5, true)
+	for _, c := range []struct {
+		entry Server
+		want  bool
+	}{
+		{server(4, true), true},
+		{server(4, false), true},
+		{server(5, false), true},
+		{server(5, true), false},
+		{server(6, false), false},
+		{server(6, true), false},
+	} {
+		if got := c.entry.Precedes(known); got != c.want {
+			t.Errorf("an entry of %d, draining %t, precedes one of 5, draining true: %t", c.entry.StartMillis(), c.entry.Draining(), got)
+		}
+	}
+	if server(5, true).Precedes(server(5, false)) {
+		t.Error("a server that begins to leave precedes itself")
+	}
+}
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -99,8 +99,8 @@
 // Writer returns the VM that wrote the record.
 func (r Record) Writer() string { return r.writer }
 
-// Version returns the table's version of the record, which grows with each change of any record. It is the fencing token of
-// promotion orders.
+// Version returns the table's version of the record, which grows with each change of any record, and from one era of the store to the next. It
+// is the fencing token of promotion orders.
 func (r Record) Version() uint64 { return r.version }
 
 // Member is the table's entry for one VM: its lease, the epoch that it has seen and the primaries that it cannot reach.
--- /dev/null
+++ b/core/lead/restore.go
@@ -0,0 +1,31 @@
+package lead
+
+import "time"
+
+// restoreWait is how long after a VM has heard of a new era of the store every lease of the eras before has certainly ended. The last of them
+// was granted before the store came back.
+const restoreWait = LeaseDuration + maxClockDrift
+
+// Restore is what a VM may do after the store has come back from a copy, and has lost what it acknowledged in the last seconds. The zero Restore
+// holds back nothing.
+type Restore struct {
+	until  time.Time // end of the leases of earlier eras
+	lapsed bool      // the VM has been without a lease since it heard of the era, or before
+}
+
+// Begin records that the VM has heard of a new era at now, with or without a valid lease.
+func (r *Restore) Begin(now time.Time, leaseValid bool) {
+	*r = Restore{until: now.Add(restoreWait), lapsed: r.lapsed && now.Before(r.until) || !leaseValid}
+}
+
+// Lapsed records that the VM was without a lease.
+func (r *Restore) Lapsed() { r.lapsed = true }
+
+// MayReplace reports whether the VM may replace a primary at now. Before, one that it doesn't see in the copy's list may hold a lease of an
+// earlier era, and use the primary.
+func (r *Restore) MayReplace(now time.Time) bool { return !now.Before(r.until) }
+
+// MayUse reports whether the VM may use a primary at now with a valid lease. One that has held a lease throughout knows of every replacement
+// that may have taken effect. Another one may have read from the copy a record that was replaced in the lost seconds, and waits until
+// nobody uses its successor under a lease of an earlier era, and until a VM that knows the successor has had time to write it again.
+func (r *Restore) MayUse(now time.Time) bool { return !r.lapsed || !now.Before(r.until) }
--- /dev/null
+++ b/core/lead/restore_test.go
@@ -0,0 +1,51 @@
+package lead
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func ExampleRestore() {
+	now := time.Unix(1000, 0)
+	var kept, started Restore
+	kept.Begin(now, true)
+	started.Begin(now, false)
+	for _, after := range []time.Duration{0, restoreWait} {
+		at := now.Add(after)
+		fmt.Println(after, kept.MayUse(at), kept.MayReplace(at), started.MayUse(at), started.MayReplace(at))
+	}
+	// Output:
+	// 0s true false false false
+	// 6.1s true true true true
+}
+
+// Guards against a VM that acts after a second restore as if only the first one had happened.
+func TestRestoresOverlap(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var r Restore
+	r.Begin(now, false)
+	now = now.Add(restoreWait - time.Millisecond)
+	r.Begin(now, true)
+	now = now.Add(restoreWait - time.Millisecond)
+	if r.MayReplace(now) || r.MayUse(now) {
+		t.Error("a VM without a lease of its own before the second restore acts before the leases of that era have ended")
+	}
+	if now = now.Add(time.Millisecond); !r.MayReplace(now) || !r.MayUse(now) {
+		t.Error("a VM does not act although all leases of earlier eras have ended")
+	}
+}
+
+// Guards against a lease of an earlier era that outlasts the wait, however late before the store's return it was granted.
+func TestRestoreOutlastsLeases(t *testing.T) {
+	granted := time.Unix(1000, 0)
+	var l Lease
+	l.Renew(granted, 1)
+	var r Restore
+	r.Begin(granted, true)
+	for at := granted; at.Before(granted.Add(2 * LeaseDuration)); at = at.Add(10 * time.Millisecond) {
+		if l.Valid(at) && r.MayReplace(at) {
+			t.Fatalf("a primary may be replaced %s after a lease was granted, which is still valid", at.Sub(granted))
+		}
+	}
+}
--- a/core/port/rows.go
+++ b/core/port/rows.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"verbenagate/core/era"
 	"verbenagate/core/exec"
 	"verbenagate/core/point"
 )
@@ -21,14 +22,14 @@
 	Table   string
 	Key     string
 	Value   []byte
-	Version uint64 // 0 for a row that does not exist
-	Deleted bool   // set only in the result of Changes
+	Version era.Position // 0 for a row that does not exist
+	Deleted bool         // set only in the result of Changes
 }
 
 // Snapshot holds rows that the store returned, and the state of the store at that time.
 type Snapshot struct {
 	Rows    []Row
-	Version uint64        // the store's newest version
+	Version era.Position  // the store's newest version
 	Clock   time.Duration // the store's monotonic clock
 	Relayed bool          // another VM made the call, so that Clock may be older than the request
 }
@@ -38,18 +39,31 @@
 	// List returns all rows of a table as of one moment.
 	List(ctx context.Context, table string) (Snapshot, error)
 	// Changes waits up to wait for changes that are newer than the version after. It may return earlier, without rows. It
-	// returns ErrHistoryGone if the store no longer holds the changes.
-	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Snapshot, error)
+	// returns ErrHistoryGone if the store no longer holds the changes, or if its era is another one.
+	Changes(ctx context.Context, table string, after era.Position, wait time.Duration) (Snapshot, error)
 }
 
 // RowStore is the platform's store of tables with versioned rows.
 type RowStore interface {
 	RowReader
 	// Commit atomically puts and removes rows if each row of expect still has its version. It returns ErrConflict if one
-	// does not. After any other error the change may have taken effect or may still take effect.
+	// does not, or if a version is of an older era. After any other error the change may have taken effect or may still take effect, also
+	// if the store answered in another era than that of the versions.
 	Commit(ctx context.Context, expect, put, remove []Row) (Snapshot, error)
 }
 
+// Eras tells of the eras of the platform's store.
+type Eras interface {
+	// Observe records a position of which this process has heard. It reports false if the position is of an era that has ended, so that
+	// nothing of the answer with it may be used.
+	Observe(p era.Position) bool
+	// Era returns the newest era of which this process has heard.
+	Era() uint64
+	// OnChange makes the store call f with each change of the era, before anything of the new era is used. It must be called before the
+	// first request.
+	OnChange(f func(era.Changed))
+}
+
 // Promoter promotes the server id to the primary of the next term of its group. Token is a fencing token, which increases with
 // each change of the holder.
 type Promoter interface {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"verbenagate/core/drain"
+	"verbenagate/core/era"
 	"verbenagate/core/event"
 	"verbenagate/core/layout"
 	"verbenagate/core/lead"
@@ -65,6 +66,7 @@
 // Adapters connect a VM to its platform.
 type Adapters struct {
 	Rows   port.RowStore
+	Eras   port.Eras // of Rows; nil if it has none
 	Orders port.Promoter
 	Dialer port.Dialer
 	Source watch.Source
@@ -122,10 +124,13 @@
 		return nil, err
 	}
 	metrics := metric.NewSet(grant.Catalog(entry.Catalog(metric.NewRegistry())), metric.ReportInterval)
-	panics := metrics.Counter(entry.Panics)
+	counters := map[event.ID]metric.Counter{
+		event.PanicRecovered: metrics.Counter(entry.Panics), event.EraChanged: metrics.Counter(entry.StoreEras),
+		event.RecordRewritten: metrics.Counter(entry.RecordsRewritten), event.EntryHeldBack: metrics.Counter(entry.EntriesHeldBack),
+	}
 	log := logs.NewCounting(lineLog, func(id event.ID) {
-		if id == event.PanicRecovered {
-			panics.Inc(1)
+		if c, ok := counters[id]; ok {
+			c.Inc(1)
 		}
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -158,6 +163,13 @@
 	e.elector = elect.New(self, a.Rows, agents, a.Orders, e.pools, paths, e.directory.View, Clock, log)
 	elector.Store(e.elector)
 	agents.SetGranter(e.elector)
+	if a.Eras != nil {
+		agents.SetEras(a.Eras)
+		a.Eras.OnChange(func(c era.Changed) {
+			log.Event(event.EraChanged, zap.Stringer("from", c.From()), zap.Stringer("to", c.To()))
+			e.elector.EraChanged(c)
+		})
+	}
 	e.owner = remote.NewOwner(ctx, e.pools, e.elector, forwarder, Clock, log)
 	config := func() layout.Config { return e.directory.View().Config() }
 	e.quotas = grant.New(ctx, self, clients, e.elector.LeaseSpan, config, metrics, Clock, log)
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -67,6 +68,12 @@
 	runScripts(t, "_keys")
 }
 
+// TestEras runs the scripts in _eras, in which the store comes back from a copy. It guards against callers that get no answer, a replaced
+// primary that is used again, a configuration that goes back and servers that come back from the dead.
+func TestEras(t *testing.T) {
+	runScripts(t, "_eras")
+}
+
 // runScripts runs each script in a directory against a deployment of its own.
 func runScripts(t *testing.T, directory string) {
 	datadriven.Walk(t, directory, func(t *testing.T, path string) {
@@ -210,7 +217,7 @@
 // adapters returns the adapters of a VM that reads and writes rows through r.
 func (s *deployment) adapters(vm string, r port.RowStore, store *platform.Store) edge.Adapters {
 	return edge.Adapters{
-		Rows: r, Orders: store, Dialer: platform.NewDialer(vm),
+		Rows: r, Eras: store, Orders: store, Dialer: platform.NewDialer(vm),
 		Source: watch.Source{
 			ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, ServerTable: platform.ServerTable,
 			ParseConfig: platform.ParseConfig, ParseServer: platform.ParseServer,
@@ -324,6 +331,26 @@
 			"up": rows.FaultNone, "down": rows.FaultDown, "lost": rows.FaultReplyLost, "silent": rows.FaultSilent,
 		}[arg(0)])
 		return ""
+	case "recorded":
+		want := fmt.Sprintf("%q", s.group.Server(number(0)).ID())
+		s.waitFor("server "+arg(0)+" is the primary in the store", func() bool {
+			value, _ := s.store.Value(elect.LeadTable, "group/ledger")
+			return bytes.Contains(value, []byte(`"server":`+want))
+		})
+		return ""
+	case "listed":
+		s.waitFor("server "+arg(1)+" is registered at VM "+arg(0), func() bool {
+			return slices.ContainsFunc(s.vms[arg(0)].State().Groups, func(g pool.GroupState) bool {
+				return slices.ContainsFunc(g.Pools, func(p pool.State) bool { return p.Server == s.group.Server(number(1)).ID() })
+			})
+		})
+		return ""
+	case "backup":
+		s.store.Backup()
+		return ""
+	case "restore":
+		s.store.Restore()
+		return ""
 	case "drop-history":
 		s.store.DropHistory()
 		return ""
--- a/io/elect/check.go
+++ b/io/elect/check.go
@@ -25,6 +25,7 @@
 	actionMove                  // replace the primary
 	actionResumeMove            // take over a replacement that another VM has abandoned
 	actionSurvey                // request the log positions of all servers
+	actionRewrite               // write the record again that the store has lost
 	actionMoveForBacklog        // replace a primary that serves all reads because its replicas lag far behind
 )
 
@@ -44,6 +45,8 @@
 			e.background.Go(func() { e.probe(pg, name, r.Server()) })
 		case actionWriteFirst:
 			e.background.Go(func() { e.runAction(name, func() { e.writeFirstRecord(ctx, pg, name) }) })
+		case actionRewrite:
+			e.background.Go(func() { e.runAction(name, func() { e.rewriteRecord(ctx, name) }) })
 		case actionMove, actionResumeMove:
 			e.background.Go(func() { e.runAction(name, func() { e.movePrimary(ctx, pg, name, r, false) }) })
 		case actionMoveForBacklog:
@@ -125,6 +128,10 @@
 		return actionNone, lead.Record{}
 	}
 	switch {
+	case g.lost:
+		return e.startInTurn(name, g, now, actionRewrite), lead.Record{}
+	case !e.restore.MayReplace(now):
+		return actionNone, lead.Record{}
 	case g.record.Version() == 0:
 		return e.startInTurn(name, g, now, actionWriteFirst), lead.Record{}
 	case g.record.Phase() == lead.Moving:
@@ -249,7 +256,7 @@
 	if primary == "" {
 		return
 	}
-	row, err := encodeRecord(group, lead.NewRecord(lead.Stable, primary, term, e.name))
+	row, err := encodeRecord(group, lead.NewRecord(lead.Stable, primary, term, e.name), e.newestEra())
 	if err != nil {
 		e.log.Event(event.PromotionFailed, zap.String("group", group), zap.Error(err))
 		return
@@ -258,3 +265,29 @@
 		_ = e.reloadRecords(ctx) // The record may have been written after all; if the reload fails, the follower reads it.
 	}
 }
+
+// rewriteRecord writes the group's record, which the store has lost, as this VM knows it.
+func (e *Elector) rewriteRecord(ctx context.Context, group string) {
+	e.mu.Lock()
+	g := e.group(group)
+	r, expected, lost, inEra := g.record, g.row, g.lost, e.era
+	e.mu.Unlock()
+	if !lost {
+		return
+	}
+	row, err := encodeRecord(group, r, inEra)
+	if err != nil {
+		e.log.Event(event.PromotionFailed, zap.String("group", group), zap.Error(err))
+		return
+	}
+	sent := e.clock()
+	s, err := e.rows.Commit(ctx, []port.Row{{Table: leadTable, Key: row.Key, Version: expected}}, []port.Row{row}, nil)
+	if err != nil {
+		_ = e.reloadRecords(ctx) // Another VM may have written it; if the reload fails, the follower reads it.
+		return
+	}
+	e.log.Event(event.RecordRewritten, zap.String("group", group), zap.String("server", r.Server()), zap.Uint64("term", r.Term()),
+		zap.Stringer("position", s.Version))
+	row.Version = s.Version
+	e.applyRows(sent, port.Snapshot{Rows: []port.Row{row}, Version: s.Version, Clock: s.Clock}, false)
+}
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenagate/core/era"
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
 	"verbenagate/core/notice"
@@ -66,9 +67,12 @@
 // groupState is this VM's state of one group and its primary.
 type groupState struct {
 	record           lead.Record
-	recordSeen       time.Time // when this version of the record was first seen
-	stableVersion    uint64    // version of the last stable record
-	servingVersion   uint64    // version of the record under which the primary may be used; 0 after this VM confirmed a move
+	row              era.Position // of the newest state of the record's row
+	lost             bool         // the row lacks the record since the store came back from a copy
+	rewrittenFrom    uint64       // servingVersion before the record was written again without a change; 0 if it wasn't
+	recordSeen       time.Time    // when this version of the record was first seen
+	stableVersion    uint64       // version of the last stable record
+	servingVersion   uint64       // version of the record under which the primary may be used; 0 after this VM confirmed a move
 	detector         lead.FailureDetector
 	quiet            bool // nothing is to be done until a record, the view or the list of VMs changes or the primary does not answer
 	probing          bool
@@ -129,8 +133,10 @@
 
 	mu          sync.Mutex
 	groups      map[string]*groupState
+	era         uint64 // the newest of the store of which this VM has heard
+	restore     lead.Restore
 	epoch       uint64
-	recordsRead bool // all records have been read at least once
+	recordsRead bool // all records have been read at least once in this era
 	lease       lead.Lease
 	leaseHeld   bool
 	leaseSince  time.Time // from when on the lease has been valid without a gap
@@ -141,8 +147,8 @@
 	provenSince     time.Time // from when on a lease of this VM has been valid without a gap, also of an earlier process; zero if unknown
 	proofsLeft      int       // how often provenSince may still be read from the store
 	storeClock      lead.StoreClock
-	nextBatch       time.Time // when the next regular batch of renewals begins
-	ownRowVersion   uint64    // version of this VM's row; 0 if unknown
+	nextBatch       time.Time    // when the next regular batch of renewals begins
+	ownRowVersion   era.Position // version of this VM's row; 0 if unknown
 	grants          lead.Grants
 	members         []lead.Member
 	listed          bool                     // members contains this VM; before, VMs that start together would all act on each group
@@ -273,7 +279,7 @@
 	u.e.mu.Lock()
 	defer u.e.mu.Unlock()
 	g := u.e.groups[u.group]
-	return g != nil && g.servingVersion == u.version && u.e.lease.Valid(u.e.clock())
+	return g != nil && (g.servingVersion == u.version || g.rewrittenFrom == u.version) && u.e.lease.Valid(u.e.clock())
 }
 
 // Release ends the use. It must be called exactly once.
@@ -291,7 +297,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	g := e.groups[group]
-	if g == nil || g.record.Phase() != lead.Stable || g.servingVersion == 0 || g.suspected || !e.lease.Valid(e.clock()) {
+	if g == nil || g.record.Phase() != lead.Stable || g.servingVersion == 0 || g.suspected || !e.mayUsePrimaries(e.clock()) {
 		return PrimaryUse{}, false
 	}
 	if e.paths.CutOff() && !e.isPrimaryNearby(g) {
@@ -306,7 +312,7 @@
 func (e *Elector) Isolated() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.lease.Valid(e.clock()) {
+	if !e.mayUsePrimaries(e.clock()) {
 		return true
 	}
 	n, total := 0, 0
@@ -408,12 +414,15 @@
 func (e *Elector) applyRows(sent time.Time, s port.Snapshot, complete bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if s.Version.Era() < e.era {
+		return
+	}
 	e.recordStoreClock(sent, s)
 	epochChanged := false
 	for _, row := range s.Rows {
 		if row.Key == epochKey {
-			epochChanged = epochChanged || row.Version > e.epoch
-			e.epoch = max(e.epoch, row.Version)
+			epochChanged = epochChanged || uint64(row.Version) > e.epoch
+			e.epoch = max(e.epoch, uint64(row.Version))
 			continue
 		}
 		group, r, ok, err := decodeRecord(row)
@@ -421,11 +430,12 @@
 			e.log.Event(event.InvariantViolated, zap.Error(err))
 		}
 		if ok {
-			e.applyRecord(group, r)
+			e.applyRow(group, row.Version, r)
 		}
 	}
 	if complete {
 		e.recordsRead = true
+		e.findLostRecords(s)
 	}
 	if epochChanged || complete {
 		e.requestRenewal()
@@ -441,6 +451,56 @@
 	}
 }
 
+// applyRow applies the record of a group in the row with this version. A row of a copy may hold a record that this VM knows to have been
+// replaced: that record stays, and is to be written again. The caller holds mu.
+func (e *Elector) applyRow(group string, row era.Position, r lead.Record) {
+	g := e.group(group)
+	if row < g.row {
+		return
+	}
+	g.row, g.lost = row, r.Version() < g.record.Version()
+	if g.lost {
+		e.setQuiet(g, false)
+		return
+	}
+	e.applyRecord(group, r)
+}
+
+// findLostRecords marks the records to be written again that the store listed no more. The caller holds mu.
+func (e *Elector) findLostRecords(s port.Snapshot) {
+	for _, g := range e.groups {
+		if g.record.Version() != 0 && g.row.Era() < s.Version.Era() {
+			g.row, g.lost = 0, true
+			e.setQuiet(g, false)
+		}
+	}
+}
+
+// EraChanged makes the elector read all that it knows from the store again. Until then it renews no lease and starts no replacement, and those
+// under way end without an order.
+func (e *Elector) EraChanged(c era.Changed) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock()
+	e.restore.Begin(now, e.lease.Valid(now))
+	e.era, e.epoch, e.ownRowVersion, e.recordsRead, e.storeClock = c.To().Era(), 0, 0, false, lead.StoreClock{}
+	e.fleetChanged.Store(true)
+	e.checkAll()
+	e.notifyChanged()
+}
+
+// newestEra returns the newest era of the store of which this VM has heard.
+func (e *Elector) newestEra() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.era
+}
+
+// mayUsePrimaries reports whether this VM may use primaries at now. The caller holds mu.
+func (e *Elector) mayUsePrimaries(now time.Time) bool {
+	return e.lease.Valid(now) && e.restore.MayUse(now)
+}
+
 // applyRecord stores a record if it is newer than the known one. The caller holds mu.
 func (e *Elector) applyRecord(group string, r lead.Record) {
 	g := e.group(group)
@@ -460,6 +520,10 @@
 			g.backlogMoveDue = false
 			g.backlog.Reset()
 		}
+		g.rewrittenFrom = 0
+		if g.record.Phase() == lead.Stable && r.Server() == g.record.Server() && r.Term() == g.record.Term() {
+			g.rewrittenFrom = g.servingVersion
+		}
 		g.stableVersion, g.servingVersion = r.Version(), r.Version()
 	}
 	g.record, g.recordSeen = r, now
@@ -518,7 +582,7 @@
 	var suspected []string
 	for _, g := range e.groups {
 		if g.record.Phase() == lead.Moving {
-			g.servingVersion = 0
+			g.servingVersion, g.rewrittenFrom = 0, 0
 		}
 		if g.suspected {
 			suspected = append(suspected, g.record.Server())
@@ -536,6 +600,9 @@
 	if now := e.clock(); !now.Before(e.lease.Until().Add(lead.Linger)) {
 		e.leaseSince, e.provenSince = now, time.Time{}
 	}
+	if !e.lease.Valid(e.clock()) {
+		e.restore.Lapsed()
+	}
 	e.lease.Renew(sent, epoch)
 	if !e.leaseHeld {
 		e.leaseHeld = true
--- a/io/elect/move.go
+++ b/io/elect/move.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenagate/core/era"
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
 	"verbenagate/core/point"
@@ -68,7 +69,7 @@
 	m := &primaryMove{
 		e: e, pg: pg, group: group, record: old, oldPrimary: old.Server(), oldTerm: old.Term(), keepPrimary: keepPrimary,
 		mayReturn:  old.Phase() == lead.Stable && !keepPrimary && e.isSuspected(group),
-		promotedAt: old.PromotedAt(), promotionOrdered: old.Phase() == lead.Moving && old.PromotionOrdered(),
+		promotedAt: old.PromotedAt(), row: e.rowOf(group, old), promotionOrdered: old.Phase() == lead.Moving && old.PromotionOrdered(),
 	}
 	server, err := m.run(ctx)
 	e.setPromotionHeld(group, false)
@@ -105,10 +106,11 @@
 	mayReturn        bool // the old primary was unreachable, and no promotion can have been ordered yet
 	promotionOrdered bool // a promotion may have been ordered, by this VM or an earlier one, and may take effect late
 	record           lead.Record
-	recordWritten    time.Time   // when the request that last wrote the record was sent
-	promotedAt       point.Point // see lead.Record; of oldPrimary until another server leads
-	positions        string      // those that were logged last
-	handedOver       bool        // oldPrimary is a draining server that this move has promoted
+	row              era.Position // of the record
+	recordWritten    time.Time    // when the request that last wrote the record was sent
+	promotedAt       point.Point  // see lead.Record; of oldPrimary until another server leads
+	positions        string       // those that were logged last
+	handedOver       bool         // oldPrimary is a draining server that this move has promoted
 }
 
 // newRecord returns a record to be written, with what a VM that resumes the move must know.
@@ -117,6 +119,19 @@
 	return r.WithPromotionOrdered(phase == lead.Moving && m.promotionOrdered)
 }
 
+// eraEnded reports whether the store may have lost the record of the move.
+func (m *primaryMove) eraEnded() bool { return m.row != 0 && m.row.Era() != m.e.newestEra() }
+
+// rowOf returns the version of the row with a record, which is that of the record unless the store has come back from a copy since.
+func (e *Elector) rowOf(group string, r lead.Record) era.Position {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if g := e.group(group); g.record.Version() == r.Version() {
+		return g.row
+	}
+	return era.Position(r.Version())
+}
+
 // syncReplicas returns how many replicas must have received a commit of the group before it is acknowledged.
 func (m *primaryMove) syncReplicas() int { return m.e.view().Config().SyncReplicas(m.group) }
 
@@ -147,7 +162,7 @@
 			if err := m.writeRecord(ctx, m.newRecord(lead.Moving, m.oldPrimary, m.record.Term()), false); err != nil {
 				return "", err
 			}
-			if !lead.MayOrderPromotion(m.e.clock(), m.recordWritten) {
+			if !lead.MayOrderPromotion(m.e.clock(), m.recordWritten) || m.eraEnded() {
 				return "", errTakenOver
 			}
 			err = m.e.promoter.Promote(ctx, m.group, best.ID(), m.e.name, m.record.Version())
@@ -198,15 +213,15 @@
 // writeRecord replaces the group's record. With changeEpoch it also changes the epoch, so that the VMs have to confirm the
 // record. It returns errTakenOver if another VM has written the record or, with changeEpoch, the epoch.
 func (m *primaryMove) writeRecord(ctx context.Context, r lead.Record, changeEpoch bool) error {
-	row, err := encodeRecord(m.group, r)
+	row, err := encodeRecord(m.group, r, m.e.newestEra())
 	if err != nil {
 		return err
 	}
-	expect := []port.Row{{Table: leadTable, Key: row.Key, Version: m.record.Version()}}
+	expect := []port.Row{{Table: leadTable, Key: row.Key, Version: m.row}}
 	put := []port.Row{row}
 	if changeEpoch {
 		m.e.mu.Lock()
-		expect = append(expect, port.Row{Table: leadTable, Key: epochKey, Version: m.e.epoch})
+		expect = append(expect, port.Row{Table: leadTable, Key: epochKey, Version: era.Position(m.e.epoch)})
 		m.e.mu.Unlock()
 		put = append(put, port.Row{Table: leadTable, Key: epochKey, Value: []byte(m.group)})
 	}
@@ -218,7 +233,7 @@
 	if err != nil {
 		return err
 	}
-	m.record, m.recordWritten = r.WithVersion(s.Version), sent
+	m.record, m.row, m.recordWritten = r.WithVersion(uint64(s.Version)), s.Version, sent
 	for i := range put {
 		put[i].Version = s.Version
 	}
@@ -265,8 +280,11 @@
 func (m *primaryMove) awaitConfirmation(ctx context.Context, epoch uint64) error {
 	rows := make(map[string]port.Row)
 	began, listed := m.e.clock(), false
-	var version uint64
+	var version era.Position
 	for ctx.Err() == nil {
+		if m.eraEnded() {
+			return errTakenOver
+		}
 		sent := m.e.clock()
 		var s port.Snapshot
 		var err error
--- a/io/elect/records.go
+++ b/io/elect/records.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"verbenagate/core/era"
 	"verbenagate/core/lead"
 	"verbenagate/core/point"
 	"verbenagate/core/port"
@@ -32,6 +33,8 @@
 	PromotedTerm   uint64 `json:"promoted_term,omitempty"`
 	PromotedNumber uint64 `json:"promoted_number,omitempty"`
 	Ordered        bool   `json:"ordered,omitempty"`
+	// Era is that of the store in which the record was written. A record of a copy thus keeps its place among those written since.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // memberRow is the stored form of the leases that one VM has requested.
@@ -55,11 +58,11 @@
 	PresentMs int64 `json:"present_ms,omitempty"`
 }
 
-func encodeRecord(group string, r lead.Record) (port.Row, error) {
+func encodeRecord(group string, r lead.Record, inEra uint64) (port.Row, error) {
 	value, err := json.Marshal(groupRow{
 		Moving: r.Phase() == lead.Moving, Server: r.Server(), Term: r.Term(), Writer: r.Writer(),
 		PromotedTerm: r.PromotedAt().Term(), PromotedNumber: r.PromotedAt().Position(),
-		Ordered: r.PromotionOrdered(),
+		Ordered: r.PromotionOrdered(), Era: inEra,
 	})
 	return port.Row{Table: leadTable, Key: groupPrefix + group, Value: value}, err
 }
@@ -79,7 +82,8 @@
 		phase = lead.Moving
 	}
 	r = lead.NewRecord(phase, g.Server, g.Term, g.Writer).WithPromotedAt(point.New(g.PromotedTerm, g.PromotedNumber))
-	return group, r.WithPromotionOrdered(g.Ordered).WithVersion(row.Version), true, nil
+	written := era.At(g.Era, row.Version.Version())
+	return group, r.WithPromotionOrdered(g.Ordered).WithVersion(uint64(written)), true, nil
 }
 
 // encodeMembers returns the row of a VM with the leases that it has requested, and with their continuity if that is set.
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -14,6 +14,10 @@
 	ConnsOpened       = "server_connections_opened_total"
 	ConnsReplaced     = "server_connections_replaced_total"
 	Choices           = "server_choices_total"
+	// StoreEras, RecordsRewritten and EntriesHeldBack show what followed from a store that came back from a copy.
+	StoreEras        = "store_eras_total"
+	RecordsRewritten = "store_records_rewritten_total"
+	EntriesHeldBack  = "store_entries_held_back_total"
 )
 
 // latencyBuckets ranges from a read in the same data centre to the longest statement timeout.
@@ -30,5 +34,8 @@
 		Counter(Panics, "panics", "Panics that ended one connection or one call.").
 		Counter(ConnsOpened, "connections", "Connections opened to servers.").
 		Counter(ConnsReplaced, "connections", "Idle connections to servers closed for another workspace.").
-		Counter(Choices, "choices", "Attempts of statements to get a server.")
+		Counter(Choices, "choices", "Attempts of statements to get a server.").
+		Counter(StoreEras, "eras", "Times that this VM has heard that the store came back from a copy.").
+		Counter(RecordsRewritten, "records", "Records of primaries that the store had lost, written again by this VM.").
+		Counter(EntriesHeldBack, "entries", "Entries of servers in a copy of the store that were not used, since newer ones are known.")
 }
--- a/io/relay/hub.go
+++ b/io/relay/hub.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"verbenagate/core/era"
 	"verbenagate/core/port"
 	"verbenagate/core/result"
 	"verbenagate/io/watch"
@@ -86,7 +87,7 @@
 // Changes waits up to limit for rows of a table that were changed after the version after, firstListTimeout at least, since the table
 // may have to be listed first. It returns each row in its newest state, and port.ErrHistoryGone if the hub does not hold all changes
 // since that version.
-func (h *hub) Changes(ctx context.Context, name string, after uint64, limit time.Duration) (port.Snapshot, error) {
+func (h *hub) Changes(ctx context.Context, name string, after era.Position, limit time.Duration) (port.Snapshot, error) {
 	t := h.acquire(name)
 	defer h.release(t)
 	return t.waitFor(ctx, max(limit, firstListTimeout), func() (port.Snapshot, bool, error) {
@@ -185,7 +186,7 @@
 }
 
 // Changes implements port.RowReader.
-func (r *tableReader) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (port.Snapshot, error) {
+func (r *tableReader) Changes(ctx context.Context, table string, after era.Position, wait time.Duration) (port.Snapshot, error) {
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.t.setRecheck(cancel)
@@ -211,8 +212,8 @@
 	listing      *port.Snapshot      // all rows that are not deleted, nil if not determined since the last change of rows
 	encoded      cbor.RawMessage     // the reply with listing, nil if not encoded yet
 	tombstones   int
-	historyFloor uint64 // changes up to this version are not held individually
-	version      uint64
+	historyFloor era.Position // changes up to this version are not held individually
+	version      era.Position
 	listed       bool
 	lastErr      error // of the last call of the store, nil if it succeeded
 	changed      chan struct{}
@@ -260,10 +261,14 @@
 	})
 }
 
-// Reset implements watch.Follower.
+// Reset implements watch.Follower. A list of a new era of the store is a copy some seconds old, and VMs may hold entries of it back, so the next
+// change of each row is passed on even if it means the same.
 func (t *followedTable) Reset(_ time.Time, s port.Snapshot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if s.Version.Era() > t.version.Era() {
+		defer clear(t.meanings)
+	}
 	t.listing, t.encoded = nil, nil
 	clear(t.rows)
 	clear(t.meanings)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -13,10 +13,12 @@
 
 	"go.uber.org/zap"
 
+	"verbenagate/core/era"
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
 	"verbenagate/core/notice"
 	"verbenagate/core/port"
+	"verbenagate/core/result"
 	"verbenagate/io/link"
 	"verbenagate/io/logs"
 )
@@ -59,6 +61,7 @@
 	agents        []lead.Member
 	failedUntil   map[string]time.Time
 	granter       Granter
+	eras          port.Eras          // nil if the store has none
 	endAgentsWait context.CancelFunc // ends agentsWait
 	agentsWait    context.Context
 	fleet         lead.Fleet                       // the last one received from an agent
@@ -124,6 +127,7 @@
 			return nil, err
 		}
 		wait := q.Wait
+		r.observe(q.After)
 		if !r.isFirstAgent(r.self) {
 			wait = min(wait, otherAgentWait)
 		}
@@ -131,6 +135,13 @@
 	})
 }
 
+// SetEras sets what is told of the positions in the replies of other VMs. It must be called before the first call.
+func (r *Relay) SetEras(e port.Eras) { r.eras = e }
+
+// observe reports whether a reply of another VM with this position may be used: not if its era has ended. A reply without a position says
+// nothing of an era.
+func (r *Relay) observe(p era.Position) bool { return p == 0 || r.eras == nil || r.eras.Observe(p) }
+
 // Wait waits until the relay follows no tables any more. Call it when the context passed to New has ended and no call of another
 // VM is served.
 func (r *Relay) Wait() { r.hub.following.Wait() }
@@ -219,7 +230,7 @@
 }
 
 // Changes implements port.RowReader.
-func (r *Relay) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (port.Snapshot, error) {
+func (r *Relay) Changes(ctx context.Context, table string, after era.Position, wait time.Duration) (port.Snapshot, error) {
 	return callFirstAvailable(ctx, r, func() (port.Snapshot, error) {
 		return r.localChanges(ctx, r.localReader(), table, after, wait)
 	}, func(a lead.Member) (port.Snapshot, error) {
@@ -243,7 +254,7 @@
 }
 
 // localChanges waits for changes on this VM. It returns none if another VM becomes the first agent meanwhile.
-func (r *Relay) localChanges(ctx context.Context, rows port.RowReader, table string, after uint64, wait time.Duration,
+func (r *Relay) localChanges(ctx context.Context, rows port.RowReader, table string, after era.Position, wait time.Duration,
 ) (port.Snapshot, error) {
 	c := &pendingCall{waits: true, direct: rows == r.store}
 	ctx, end := r.startCall(ctx, r.self, c)
@@ -343,6 +354,10 @@
 		if err != nil {
 			return port.Snapshot{}, err
 		}
+		if !r.observe(answer.Version) {
+			return port.Snapshot{}, result.New(result.StoreUnavailable, "agent %s replied from an era of the store that has ended: %s",
+				a.Name(), answer.Version)
+		}
 		return answer.snapshot(q.table)
 	}
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -14,6 +14,7 @@
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"verbenagate/core/era"
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
 	"verbenagate/core/port"
@@ -42,7 +43,7 @@
 type fakeStore struct {
 	mu           sync.Mutex
 	rows         map[string]port.Row
-	version      uint64
+	version      era.Position
 	changed      chan struct{}
 	down         bool
 	historyGone  bool // calls for changes fail
@@ -104,7 +105,7 @@
 	return s, nil
 }
 
-func (f *fakeStore) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) (port.Snapshot, error) {
+func (f *fakeStore) Changes(ctx context.Context, _ string, after era.Position, wait time.Duration) (port.Snapshot, error) {
 	f.mu.Lock()
 	f.changesCalls++
 	f.mu.Unlock()
@@ -255,7 +256,7 @@
 		s := <-got
 		g.Expect(s.Rows).To(gomega.HaveLen(1))
 		g.Expect(s.Rows[0].Deleted).To(gomega.BeTrue())
-		g.Expect(s.Version).To(gomega.Equal(uint64(2)))
+		g.Expect(s.Version).To(gomega.Equal(era.Position(2)))
 	}
 	lists, _ := f.callCounts()
 	g.Expect(lists).To(gomega.Equal(1))
@@ -586,7 +587,7 @@
 			}
 			var s port.Snapshot
 			for i := range 3 * n {
-				s.Rows = append(s.Rows, port.Row{Key: fmt.Sprint("server-", i), Version: uint64(i), Value: fmt.Appendf(nil,
+				s.Rows = append(s.Rows, port.Row{Key: fmt.Sprint("server-", i), Version: era.Position(i), Value: fmt.Appendf(nil,
 					`{"service":"g-%d","address":"10.0.0.1:%d","zone":"dc0","slots":5,"state":"ready","dbRole":"replica","born":1}`, i/3, i+1)})
 			}
 			t.Reset(time.Time{}, s)
@@ -604,7 +605,7 @@
 	f := newFakeStore()
 	agent := newVM(t, "agent", f)
 	agent.SetAgents([]lead.Member{agent.member()})
-	var last uint64
+	var last era.Position
 	for i := range 4 {
 		f.put("a", fmt.Sprint(i), false)
 		f.put(fmt.Sprint("b", i-1), "1", true)
@@ -636,9 +637,9 @@
 	for _, n := range []int{30, 100, 300, 790} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			t := &followedTable{rows: make(map[string]port.Row), changed: make(chan struct{})}
-			s := port.Snapshot{Version: uint64(3 * n)}
+			s := port.Snapshot{Version: era.Position(3 * n)}
 			for i := range 3 * n {
-				s.Rows = append(s.Rows, port.Row{Key: fmt.Sprint("server-", i), Version: uint64(i + 1), Value: make([]byte, 110)})
+				s.Rows = append(s.Rows, port.Row{Key: fmt.Sprint("server-", i), Version: era.Position(i + 1), Value: make([]byte, 110)})
 			}
 			h := &hub{followed: map[string]*followedTable{"t": t}}
 			b.ReportAllocs()
--- a/io/watch/directory.go
+++ b/io/watch/directory.go
@@ -20,6 +20,9 @@
 // after that is removed.
 const reregisterGrace = 2900 * time.Millisecond
 
+// departureMemory is how long a server that has left is remembered. A copy of the store is some seconds old.
+const departureMemory = time.Minute
+
 // directoryBatchDelay is how long changes of the configuration and of the servers are batched. A change may take seconds until
 // it is in force.
 const directoryBatchDelay = 250 * time.Millisecond
@@ -85,6 +88,14 @@
 	serversListed bool
 	storeDown     bool
 	storeUpSince  time.Time // end of the last outage, zero before the first one
+	serversEra    uint64    // of the store, when the servers were listed last
+	departed      map[string]departure
+}
+
+// departure is a server that is registered no more. Its entry may come back with a copy of the store.
+type departure struct {
+	server layout.Server
+	at     time.Time
 }
 
 // NewDirectory starts to follow the tables until ctx ends. It calls onChange with each new view, one call at a time.
@@ -94,6 +105,7 @@
 	d := &Directory{
 		source: source, clock: clock, log: log, onChange: onChange,
 		servers: make(map[string]layout.Server), removeAfter: make(map[string]time.Time),
+		departed: make(map[string]departure),
 	}
 	d.view.Store(&View{servers: map[string]layout.Server{}})
 	d.background.Go(func() {
@@ -136,6 +148,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now, removed := d.clock(), false
+	maps.DeleteFunc(d.departed, func(_ string, gone departure) bool { return now.Sub(gone.at) > departureMemory })
 	for id, at := range d.removeAfter {
 		if !d.storeDown && now.After(at) {
 			delete(d.removeAfter, id)
@@ -152,9 +165,20 @@
 	if s, ok := d.servers[id]; ok {
 		d.log.Event(event.ServerGone, zap.String("server", id), zap.String("group", s.Group()))
 		delete(d.servers, id)
+		d.departed[id] = departure{server: s, at: d.clock()}
 	}
 }
 
+// holdsBack reports whether an entry from a copy of the store is older than what this VM knows of the server, so that it is not applied: the
+// server has left since, has been started again or leaves. The caller holds mu.
+func (d *Directory) holdsBack(s layout.Server) bool {
+	if known, ok := d.servers[s.ID()]; ok {
+		return s.Precedes(known)
+	}
+	gone, ok := d.departed[s.ID()]
+	return ok && s.StartMillis() <= gone.server.StartMillis()
+}
+
 type configFollower Directory
 
 // Reset implements Follower.
@@ -198,15 +222,20 @@
 
 type serverFollower Directory
 
-// Reset implements Follower. It removes the servers that are no longer listed.
+// Reset implements Follower. It removes the servers that are no longer listed. In a new era of the store, the list is a copy some seconds old: of
+// servers that are known better, the known entries stay until they write theirs again, and those that it lacks have reregisterGrace for that.
 func (f *serverFollower) Reset(_ time.Time, s port.Snapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.markStoreUp()
+	isCopy := s.Version.Era() > f.serversEra
+	if isCopy {
+		f.serversEra, f.storeUpSince = s.Version.Era(), f.clock()
+	}
 	listed := make(map[string]bool, len(s.Rows))
 	for _, row := range s.Rows {
 		listed[row.Key] = true
-		f.applyRow(row)
+		f.applyRow(row, isCopy)
 	}
 	for id := range f.servers {
 		if !listed[id] {
@@ -228,7 +257,7 @@
 			changed = f.handleMissing(row.Key) || changed
 			continue
 		}
-		changed = f.applyRow(row) || changed
+		changed = f.applyRow(row, false) || changed
 	}
 	if changed {
 		(*Directory)(f).publish()
@@ -270,8 +299,8 @@
 }
 
 // applyRow stores a server's entry, or removes the server if the entry is invalid. It reports whether that changed anything: most
-// entries only show that the server is alive. The caller holds mu.
-func (f *serverFollower) applyRow(row port.Row) bool {
+// entries only show that the server is alive. An entry from a copy of the store may be held back. The caller holds mu.
+func (f *serverFollower) applyRow(row port.Row, isCopy bool) bool {
 	delete(f.removeAfter, row.Key)
 	s, err := f.source.ParseServer(row.Key, row.Value)
 	if err != nil {
@@ -280,6 +309,11 @@
 		(*Directory)(f).removeServer(row.Key)
 		return known
 	}
+	if isCopy && (*Directory)(f).holdsBack(s) {
+		f.log.Event(event.EntryHeldBack, zap.String("server", s.ID()), zap.Bool("draining", s.Draining()))
+		return false
+	}
+	delete(f.departed, row.Key)
 	old, known := f.servers[row.Key]
 	changed := !known || old != s
 	if changed {
--- a/io/watch/directory_test.go
+++ b/io/watch/directory_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"verbenagate/core/era"
 	"verbenagate/core/event"
 	"verbenagate/core/layout"
 	"verbenagate/core/port"
@@ -34,7 +35,7 @@
 			},
 		},
 		clock: func() time.Time { return now }, log: discardLogger{}, onChange: func(*View) {},
-		servers: make(map[string]layout.Server), removeAfter: make(map[string]time.Time),
+		servers: make(map[string]layout.Server), removeAfter: make(map[string]time.Time), departed: make(map[string]departure),
 	}
 	d.publish()
 	return d, &now
@@ -72,6 +73,33 @@
 	g.Expect(known).To(gomega.BeFalse(), "the server did not register again")
 }
 
+// Guards against a server that is removed since it registered in the seconds that the store lost, against one that comes back with a copy of the
+// store although it has left, and against one that stays away although it registered again.
+func TestServersOfACopy(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, now := newTestDirectory()
+	f := (*serverFollower)(d)
+	f.Reset(*now, entries("a", "left", "joined"))
+	f.Change(*now, port.Snapshot{Rows: []port.Row{{Key: "left", Deleted: true}}})
+	copied := entries("a", "left")
+	copied.Version = era.At(1, 3)
+	f.Reset(*now, copied)
+	_, known := d.View().Server("joined")
+	g.Expect(known).To(gomega.BeTrue(), "the server may still write its entry again")
+	_, known = d.View().Server("left")
+	g.Expect(known).To(gomega.BeFalse(), "the entry is older than the server's leaving")
+	*now = now.Add(reregisterGrace + time.Second)
+	f.Change(*now, entries("left"))
+	d.removeExpired()
+	_, known = d.View().Server("joined")
+	g.Expect(known).To(gomega.BeFalse(), "the server did not write its entry again")
+	_, known = d.View().Server("left")
+	g.Expect(known).To(gomega.BeTrue(), "the server has written its entry again")
+	*now = now.Add(departureMemory + time.Second)
+	d.removeExpired()
+	g.Expect(d.departed).To(gomega.BeEmpty(), "a copy is not that old")
+}
+
 // Guards against a server that is kept although its entry was deleted or became invalid while the store answers.
 func TestEntryRemoved(t *testing.T) {
 	g := gomega.NewWithT(t)
