io/elect, core/lead: a rewritten record keeps work valid only across eras

A record that says the same as the one before kept running work valid within an era, too, where a VM may have missed that the group was moving in between; and work that began before a lapse of the lease in a new era was valid again before the VM may use primaries. Record.Rewrites is the decision, in core; comments are wrapped.

--- a/core/era/era.go
+++ b/core/era/era.go
@@ -31,8 +31,8 @@
 // Older says that an answer is of an era that has ended. It must not be applied.
 type Older struct{ newest Position }
 
-// Changed says that a new era has begun. Each holder of state handles it: it keeps what it knows, reads the store in full, and takes nothing
-// that it has written for held until it has read it again.
+// Changed says that a new era has begun. Each holder of state handles it: it keeps what it knows, reads the store in full, and takes
+// nothing that it has written for held until it has read it again.
 type Changed struct{ from, to Position }
 
 func (Current) event() {}
@@ -48,8 +48,8 @@
 // To returns the first position heard of in the new era.
 func (c Changed) To() Position { return c.to }
 
-// Tracker holds the newest position of which a process has heard, from the store or from another VM. The zero Tracker has heard of none, which
-// counts as the era 0. It is not safe for concurrent use.
+// Tracker holds the newest position of which a process has heard, from the store or from another VM. The zero Tracker has heard of none,
+// which counts as the era 0. It is not safe for concurrent use.
 type Tracker struct {
 	newest     Position
 	lastChange Changed
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"verbenagate/core/era"
 	"verbenagate/core/owner"
 	"verbenagate/core/point"
 )
@@ -99,8 +100,14 @@
 // Writer returns the VM that wrote the record.
 func (r Record) Writer() string { return r.writer }
 
-// Version returns the table's version of the record, which grows with each change of any record, and from one era of the store to the next. It
-// is the fencing token of promotion orders.
+// Rewrites reports whether r says the same as old, and was written in a later era of the store, which had lost old.
+func (r Record) Rewrites(old Record) bool {
+	return r.phase == Stable && old.phase == Stable && r.server == old.server && r.term == old.term &&
+		era.Position(r.version).Era() > era.Position(old.version).Era()
+}
+
+// Version returns the table's version of the record, which grows with each change of any record, and from one era of the store to the next.
+// It is the fencing token of promotion orders.
 func (r Record) Version() uint64 { return r.version }
 
 // Member is the table's entry for one VM: its lease, the epoch that it has seen and the primaries that it cannot reach.
--- a/core/lead/restore.go
+++ b/core/lead/restore.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-// restoreWait is how long after a VM has heard of a new era of the store every lease of the eras before has certainly ended. The last of them
-// was granted before the store came back.
+// restoreWait is how long after a VM has heard of a new era of the store every lease of the eras before has certainly ended. The last of
+// them was granted before the store came back.
 const restoreWait = LeaseDuration + maxClockDrift
 
-// Restore is what a VM may do after the store has come back from a copy, and has lost what it acknowledged in the last seconds. The zero Restore
-// holds back nothing.
+// Restore is what a VM may do after the store has come back from a copy, and has lost what it acknowledged in the last seconds. The zero
+// Restore holds back nothing.
 type Restore struct {
 	until  time.Time // end of the leases of earlier eras
 	lapsed bool      // the VM has been without a lease since it heard of the era, or before
@@ -21,7 +21,7 @@
 // Lapsed records that the VM was without a lease.
 func (r *Restore) Lapsed() { r.lapsed = true }
 
-// MayReplace reports whether the VM may replace a primary at now. Before, one that it doesn't see in the copy's list may hold a lease of an
+// MayReplace reports whether the VM may replace a primary at now. Before, a VM that is missing in the copy's list may hold a lease of an
 // earlier era, and use the primary.
 func (r *Restore) MayReplace(now time.Time) bool { return !now.Before(r.until) }
 
--- a/core/lead/restore_test.go
+++ b/core/lead/restore_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"verbenagate/core/era"
 )
 
 func ExampleRestore() {
@@ -49,3 +51,24 @@
 		}
 	}
 }
+
+// Guards against work that counts as unknown since the record of its primary was written again, and against work that goes on after a
+// replacement.
+func TestRewrites(t *testing.T) {
+	version := func(inEra, n uint64) uint64 { return uint64(era.At(inEra, n)) }
+	old := NewRecord(Stable, "s", 3, "vm").WithVersion(version(0, 90))
+	for _, c := range []struct {
+		r    Record
+		want bool
+	}{
+		{NewRecord(Stable, "s", 3, "other").WithVersion(version(1, 40)), true},
+		{NewRecord(Stable, "s", 3, "vm").WithVersion(version(0, 91)), false},
+		{NewRecord(Moving, "s", 3, "vm").WithVersion(version(1, 40)), false},
+		{NewRecord(Stable, "s", 4, "vm").WithVersion(version(1, 40)), false},
+		{NewRecord(Stable, "t", 3, "vm").WithVersion(version(1, 40)), false},
+	} {
+		if got := c.r.Rewrites(old); got != c.want {
+			t.Errorf("%+v rewrites %+v: %t", c.r, old, got)
+		}
+	}
+}
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -113,8 +113,8 @@
 	return ready
 }
 
-// Restored records at now that the store has come back from a copy. For ListLife, its lists may lack a VM that has been present throughout, so
-// none as of that time counts: a VM holds a key only as long as the last list from before lets it, and anew with the first one from after.
+// Restored records at now that the store has come back from a copy. For ListLife, its lists may lack a VM that has been present throughout,
+// so none as of that time counts: a VM holds a key only as long as the last list from before lets it, and anew with the first one from after.
 func (h *Holder) Restored(now time.Time) { h.restored, h.newFrom = now, now.Add(ListLife+clockMargin) }
 
 // Settling reports whether lists count again soon, after the store has come back from a copy. They are then to be read often.
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -109,8 +109,8 @@
 // Guards against two VMs whose lists differ and that both hold a key, for any history of leases and lists.
 func TestOneHolder(t *testing.T) { checkOneHolder(t, 6) }
 
-// Guards against the same, where the store comes back from a copy some seconds old, which lacks VMs that hold a key, and names some that have
-// lapsed since as present without a gap.
+// Guards against the same, where the store comes back from a copy some seconds old, which lacks VMs that hold a key, and names some that
+// have lapsed since as present without a gap.
 func TestOneHolderOverEras(t *testing.T) { checkOneHolder(t, 7) }
 
 // checkOneHolder plays random histories of these kinds of events.
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -279,7 +279,7 @@
 	u.e.mu.Lock()
 	defer u.e.mu.Unlock()
 	g := u.e.groups[u.group]
-	return g != nil && (g.servingVersion == u.version || g.rewrittenFrom == u.version) && u.e.lease.Valid(u.e.clock())
+	return g != nil && (g.servingVersion == u.version || g.rewrittenFrom == u.version) && u.e.mayUsePrimaries(u.e.clock())
 }
 
 // Release ends the use. It must be called exactly once.
@@ -476,8 +476,8 @@
 	}
 }
 
-// EraChanged makes the elector read all that it knows from the store again. Until then it renews no lease and starts no replacement, and those
-// under way end without an order.
+// EraChanged makes the elector read all that it knows from the store again. Until then it renews no lease and starts no replacement, and
+// those under way end without an order.
 func (e *Elector) EraChanged(c era.Changed) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -521,7 +521,7 @@
 			g.backlog.Reset()
 		}
 		g.rewrittenFrom = 0
-		if g.record.Phase() == lead.Stable && r.Server() == g.record.Server() && r.Term() == g.record.Term() {
+		if r.Rewrites(g.record) {
 			g.rewrittenFrom = g.servingVersion
 		}
 		g.stableVersion, g.servingVersion = r.Version(), r.Version()
--- a/io/relay/hub.go
+++ b/io/relay/hub.go
@@ -261,8 +261,8 @@
 	})
 }
 
-// Reset implements watch.Follower. A list of a new era of the store is a copy some seconds old, and VMs may hold entries of it back, so the next
-// change of each row is passed on even if it means the same.
+// Reset implements watch.Follower. A list of a new era of the store is a copy some seconds old, and VMs may hold entries of it back, so the
+// next change of each row is passed on even if it means the same.
 func (t *followedTable) Reset(_ time.Time, s port.Snapshot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -227,7 +227,8 @@
 			return lead.Fleet{}, err
 		}
 		if answer.Error == "" && r.eras != nil && !r.eras.Observe(era.At(answer.Era, 0)) {
-			return lead.Fleet{}, result.New(result.StoreUnavailable, "agent %s replied from era %d of the store, which has ended", a.Name(), answer.Era)
+			return lead.Fleet{}, result.New(result.StoreUnavailable,
+				"agent %s replied from era %d of the store, which has ended", a.Name(), answer.Era)
 		}
 		f, err := answer.fleet(known)
 		if err == nil {
--- a/io/watch/directory.go
+++ b/io/watch/directory.go
@@ -169,8 +169,8 @@
 	}
 }
 
-// holdsBack reports whether an entry from a copy of the store is older than what this VM knows of the server, so that it is not applied: the
-// server has left since, has been started again or leaves. The caller holds mu.
+// holdsBack reports whether an entry from a copy of the store is older than what this VM knows of the server, so that it is not applied:
+// the server has left since, has been started again or leaves. The caller holds mu.
 func (d *Directory) holdsBack(s layout.Server) bool {
 	if known, ok := d.servers[s.ID()]; ok {
 		return s.Precedes(known)
@@ -222,8 +222,9 @@
 
 type serverFollower Directory
 
-// Reset implements Follower. It removes the servers that are no longer listed. In a new era of the store, the list is a copy some seconds old: of
-// servers that are known better, the known entries stay until they write theirs again, and those that it lacks have reregisterGrace for that.
+// Reset implements Follower. It removes the servers that are no longer listed. In a new era of the store, the list is a copy some seconds
+// old: of servers that are known better, the known entries stay until they write theirs again, and those that it lacks have
+// reregisterGrace for that.
 func (f *serverFollower) Reset(_ time.Time, s port.Snapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/watch/directory_test.go
+++ b/io/watch/directory_test.go
@@ -73,8 +73,8 @@
 	g.Expect(known).To(gomega.BeFalse(), "the server did not register again")
 }
 
-// Guards against a server that is removed since it registered in the seconds that the store lost, against one that comes back with a copy of the
-// store although it has left, and against one that stays away although it registered again.
+// Guards against a server that is removed since it registered in the seconds that the store lost, against one that comes back with a copy
+// of the store although it has left, and against one that stays away although it registered again.
 func TestServersOfACopy(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d, now := newTestDirectory()
