io/entry: a waiting statement is answered before a stop ends, and misses no change

What callers would have seen: at a planned stop, 18 of 30 reads that waited for a server were answered "unknown". Cause: the wait between two attempts, up to 480 ms, was not bounded by the time in which a stopping VM answers; and the channel for changes was taken after the attempt, so a change in between was missed for the whole wait. Evidence: TestStopAnswersWaitingReads failed (18 of 30). Change: the wait ends when the statement must be answered; the channel is taken before the attempt. Run: TestStopAnswersWaitingReads 3 of 3; TestWaitingReadsLeaveTimeForRenewals, TestReadsWaitWhilePrimaryIsReplaced and the tests of stops once.

--- a/io/edge/moving_test.go
+++ b/io/edge/moving_test.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// Guards against a stop that closes the connections of callers whose reads wait for a server, without an answer: the wait between two
+// attempts may be longer than the time that is left.
+func TestStopAnswersWaitingReads(t *testing.T) {
+	const reads = 30
+	s := newFleet(t)
+	defer s.close()
+	owner := s.replacePrimary(reads, func(s *deployment) { s.register(0, "draining") })
+	defer close(s.promotion)
+	stop := time.AfterFunc(replacedRoute/3, func() { s.vms[owner].Stop() })
+	defer stop.Stop()
+	s.readAll(reads)
+}
+
 // processorTime returns the processor time that the process has used.
 func processorTime(t *testing.T) time.Duration {
 	var u syscall.Rusage
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -111,9 +111,9 @@
 	deadline := now.Add(r.Timeout() - answerReserve)
 	a := errorAnswer(result.NoServer, "no server can take the statement")
 	var tried triedServers
-	loop := retry.NewLoop(retryBackoff, deadline)
+	tries := newAttempts(deadline)
 	for n, limit := 1, maxAttempts; n <= limit; n++ {
-		t, err := ss.acquireTarget(r, st.writes, now, deadline, tried.all(), &loop)
+		t, err := ss.acquireTarget(r, st.writes, now, tried.all(), tries)
 		if err != nil {
 			if a.tries == 0 {
 				a = answerFromError(err)
@@ -130,7 +130,7 @@
 			zap.String("message", a.message))
 		switch {
 		case t.onPrimary:
-			ss.waitForPrimaryChange(&loop)
+			ss.waitForPrimaryChange(tries)
 		case a.sentBack:
 			tried.sentBack, limit = a.server, limit+1
 		case a.code == result.AgeNotMet:
@@ -160,27 +160,40 @@
 // better than a refusal.
 func (t *triedServers) add(server string) { t.failed, t.sentBack = append(t.failed, server), "" }
 
-// waitForPrimaryChange waits until the primary or the lease changes, at most until the loop's next attempt is due. It reports whether the
-// loop goes on.
-func (ss *session) waitForPrimaryChange(l *retry.Loop) bool {
-	d, ok := l.Next(ss.entry.deps.Clock(), retry.Jitter())
+// attempts is the loop of a statement that looks for a server.
+type attempts struct {
+	loop     retry.Loop
+	deadline time.Time
+	changed  <-chan struct{} // closed when the primary or the lease has changed since the last attempt began
+}
+
+func newAttempts(deadline time.Time) *attempts {
+	return &attempts{loop: retry.NewLoop(retryBackoff, deadline), deadline: deadline}
+}
+
+// waitForPrimaryChange waits until the primary or the lease has changed since the last attempt began, at most until the next attempt is due
+// or the statement must be answered. It reports whether the loop goes on.
+func (ss *session) waitForPrimaryChange(a *attempts) bool {
+	now := ss.entry.deps.Clock()
+	d, ok := a.loop.Next(now, retry.Jitter())
 	if ok {
-		every.Wait(context.Background(), d, ss.entry.deps.Elector.Changed())
+		every.Wait(context.Background(), min(d, max(ss.entry.plan().AnswerBy(a.deadline).Sub(now), 0)), a.changed)
 	}
 	return ok
 }
 
-// acquireTarget chooses a server and acquires a connection to it. It tries again until deadline, unless the VM is cut off or the
+// acquireTarget chooses a server and acquires a connection to it. It tries again until the deadline, unless the VM is cut off or the
 // primary is overloaded. It tries again at once only if that leaves out one more server, and else waits for a change of the primary.
-func (ss *session) acquireTarget(r layout.Route, writes bool, began, deadline time.Time, tried []string, l *retry.Loop) (target, error) {
+func (ss *session) acquireTarget(r layout.Route, writes bool, began time.Time, tried []string, a *attempts) (target, error) {
 	err := result.New(result.NoServer, "no server of group %s can take the statement", r.Group())
 	for {
 		now := ss.entry.deps.Clock()
-		if !now.Before(ss.entry.plan().AnswerBy(deadline)) {
+		if !now.Before(ss.entry.plan().AnswerBy(a.deadline)) {
 			return target{}, err
 		}
 		ss.choices++
-		t, e := ss.tryAcquire(r, writes, began, deadline, tried)
+		a.changed = ss.entry.deps.Elector.Changed()
+		t, e := ss.tryAcquire(r, writes, began, a.deadline, tried)
 		if e == nil {
 			return t, nil
 		}
@@ -197,7 +210,7 @@
 			continue
 		}
 		tried = nil
-		if !ss.waitForPrimaryChange(l) {
+		if !ss.waitForPrimaryChange(a) {
 			return target{}, err
 		}
 	}
@@ -320,8 +333,8 @@
 }
 
 // chooseReadServer chooses a server for a read. It returns the server's id and the log position that it must have applied, or ""
-// if only the primary can run the read. If maxAge is not 0, the server must besides have a position that is to be found out. It then is not
-// asked for while other reads find none, unless the primary can be used. For sendBackAt, see pool.AcquireRequest.
+// if only the primary can run the read. If maxAge is not 0, the server must besides have a position that is to be found out. No server
+// is chosen for that while other reads find none, unless the primary can be used. For sendBackAt, see pool.AcquireRequest.
 func (ss *session) chooseReadServer(g *pool.Group, r layout.Route, began time.Time, tried []string, primaryUsable bool,
 ) (id string, required point.Point, maxAge time.Duration, sendBackAt int) {
 	if r.Kind() == layout.Primary {
@@ -527,10 +540,10 @@
 	}
 	err := result.New(result.NoServer, "no server can take the transaction")
 	var tried triedServers
-	loop := retry.NewLoop(retryBackoff, deadline)
+	tries := newAttempts(deadline)
 	for n, limit := 1, maxAttempts; n <= limit && ss.entry.deps.Clock().Before(deadline); n++ {
 		r := ss.tx.route
-		t, e := ss.acquireTarget(r, !ss.tx.readOnly, ss.tx.began, deadline, tried.all(), &loop)
+		t, e := ss.acquireTarget(r, !ss.tx.readOnly, ss.tx.began, tried.all(), tries)
 		if e != nil {
 			return e
 		}
@@ -554,7 +567,7 @@
 			return err
 		}
 		if t.onPrimary {
-			ss.waitForPrimaryChange(&loop)
+			ss.waitForPrimaryChange(tries)
 		}
 	}
 	return err
