--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -498,7 +498,10 @@
 }
 
 // readAnswer reads an answer and returns it on one line. It leaves out the text of an error, which contains times and addresses.
-func (s *deployment) readAnswer(c *caller) string {
+func (s *deployment) readAnswer(c *caller) string { return readAnswerOf(c) }
+
+// readAnswerOf reads an answer up to its end, and returns it in one line.
+func readAnswerOf(c *caller) string {
 	var parts []string
 	for {
 		l, err := c.r.ReadString('\n')
