io/elect, core/event: say when primaries wait after a restore, and what the first list of VMs lacks

The logs could not tell a VM without a lease from one that has a lease and waits for those of an earlier era, nor a list of VMs from a copy from one that is short for another reason. Change: events 723 and 724 when the wait begins and ends, 725 with the size of the first list of an era and of the one before; a refused statement says which of the two holds. Nothing else changes.

--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -68,6 +68,9 @@
 	RecordRewritten    ID = 720
 	EraChanged         ID = 721
 	EntryHeldBack      ID = 722
+	PrimariesWait      ID = 723
+	PrimariesUsable    ID = 724
+	FirstList          ID = 725
 	ConfigApplied      ID = 800
 	ConfigOlder        ID = 801
 	ConfigRefused      ID = 802
@@ -149,6 +152,9 @@
 	{RecordRewritten, LayerFailover, "the record of a primary that the store had lost was written again", "None: the store came back from a copy (721)."},
 	{EraChanged, LayerFailover, "the store has come back from a copy; everything is read again", "Check that operators have written their configuration again. Primaries are replaced again after 6.1 s."},
 	{EntryHeldBack, LayerFailover, "the entry of a server in a copy of the store is older than what is known of the server, and was not used", "None, unless the server is in use: then it has not written its entry since."},
+	{PrimariesWait, LayerFailover, "no primary is used until the leases of earlier eras of the store have ended", "None; the field until says when that is. If it lasts, check whether the store comes back from a copy again and again (721)."},
+	{PrimariesUsable, LayerFailover, "primaries may be used again after the store came back from a copy", "None."},
+	{FirstList, LayerFailover, "first list of VMs since the store came back from a copy", "None; live far below before says that most VMs have not renewed their leases yet."},
 	{ConfigApplied, LayerConfig, "configuration revision in force", "None."},
 	{ConfigOlder, LayerConfig, "store holds an older configuration", "Find out why the store holds an older state; the VMs keep the newer configuration."},
 	{ConfigRefused, LayerConfig, "configuration change refused", "Correct the errors listed, or base the change on the current revision."},
--- a/core/lead/restore.go
+++ b/core/lead/restore.go
@@ -21,6 +21,9 @@
 // Lapsed records that the VM was without a lease.
 func (r *Restore) Lapsed() { r.lapsed = true }
 
+// Until returns when the wait ends, the zero time if there was none.
+func (r *Restore) Until() time.Time { return r.until }
+
 // MayReplace reports whether the VM may replace a primary at now. Before, a VM that is missing in the copy's list may hold a lease of an
 // earlier era, and use the primary.
 func (r *Restore) MayReplace(now time.Time) bool { return !now.Before(r.until) }
--- a/io/elect/check.go
+++ b/io/elect/check.go
@@ -34,6 +34,7 @@
 	view := e.view()
 	e.logLeaseLoss()
 	now := e.clock()
+	e.logWait(now)
 	for _, name := range e.groupsToCheck(view, now) {
 		pg, ok := e.pools.Group(name)
 		if !ok {
@@ -104,6 +105,21 @@
 	}
 }
 
+// logWait logs once that this VM has a lease and may use no primary yet, since the store has come back from a copy, and once that it may.
+func (e *Elector) logWait(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	waits := e.lease.Valid(now) && !e.restore.MayUse(now)
+	switch {
+	case waits && !e.waitLogged:
+		e.log.Event(event.PrimariesWait, zap.Time("until", e.restore.Until()), zap.Duration("left", e.restore.Until().Sub(now)),
+			zap.Uint64("era", e.era))
+	case !waits && e.waitLogged && e.lease.Valid(now):
+		e.log.Event(event.PrimariesUsable, zap.Uint64("era", e.era))
+	}
+	e.waitLogged = waits || e.waitLogged && !e.lease.Valid(now)
+}
+
 // runAction runs an action started by startInTurn and then allows the group's next action.
 func (e *Elector) runAction(group string, run func()) {
 	defer func() {
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -135,6 +135,8 @@
 	groups      map[string]*groupState
 	era         uint64 // the newest of the store of which this VM has heard
 	restore     lead.Restore
+	waitLogged  bool   // that no primary may be used yet, see logWait
+	listedEra   uint64 // of the newest list of VMs
 	epoch       uint64
 	recordsRead bool // all records have been read at least once in this era
 	lease       lead.Lease
@@ -329,6 +331,14 @@
 	return lead.Isolated(n, total)
 }
 
+// Waits reports whether this VM has a lease and may use no primary yet, since the store has come back from a copy.
+func (e *Elector) Waits() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock()
+	return e.lease.Valid(now) && !e.restore.MayUse(now)
+}
+
 // Starting reports whether this VM started less than startupGrace ago and has not obtained its first lease yet.
 func (e *Elector) Starting() bool {
 	e.mu.Lock()
@@ -648,6 +658,7 @@
 	if err != nil {
 		return
 	}
+	e.logFirstList(fleet)
 	e.applyFleet(fleet)
 	if e.onMembers != nil {
 		e.onMembers(fleet.Present(), sent.Add(-maxAge))
@@ -657,6 +668,16 @@
 	}
 }
 
+// logFirstList logs the first list of VMs since the store has come back from a copy.
+func (e *Elector) logFirstList(fleet lead.Fleet) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.members) > 0 && e.listedEra != e.era {
+		e.log.Event(event.FirstList, zap.Uint64("era", e.era), zap.Int("live", len(fleet.Live())), zap.Int("before", len(e.members)))
+	}
+	e.listedEra = e.era
+}
+
 // applyFleet updates all that is derived from the list of VMs, if the list has changed.
 func (e *Elector) applyFleet(fleet lead.Fleet) {
 	e.mu.Lock()
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -316,6 +316,10 @@
 func (ss *session) noPrimaryError(r layout.Route) error {
 	if ss.entry.deps.Elector.Isolated() && !ss.entry.deps.Elector.Starting() {
 		ss.closeWhenIdle = true
+		if ss.entry.deps.Elector.Waits() {
+			return result.New(result.StoreUnavailable,
+				"the store has come back from a copy, and leases of the time before may go on, so the primary of group %s cannot be used", r.Group())
+		}
 		return result.New(result.StoreUnavailable,
 			"this VM has no lease or cannot reach most primaries, so it cannot use the primary of group %s", r.Group())
 	}
