io/elect, core/lead: a VM that starts long after a restore does not wait for leases of earlier eras

Cause: a VM counts the time until all leases of earlier eras have ended from when it hears of the era. One that starts hears of it at its first answer. Class: an age that is counted from the own start although others know it (the quotas do the same). Change: the VMs keep a mark of the era in the table of records, with the store's clock when one of them first heard of it. A VM that lists the records, as each does at its start, learns by when the era had begun, on one clock of one era. The VMs write it in turn, once an era: one call of the store. Without a mark nothing changes. A wait that ends wakes the statements that wait for a primary.

--- a/core/lead/restore.go
+++ b/core/lead/restore.go
@@ -18,6 +18,13 @@
 	*r = Restore{until: now.Add(restoreWait), lapsed: r.lapsed && now.Before(r.until) || !leaseValid}
 }
 
+// Began records that the newest era had begun by at. A VM that is started long after the store came back need not wait.
+func (r *Restore) Began(at time.Time) {
+	if until := at.Add(restoreWait); until.Before(r.until) {
+		r.until = until
+	}
+}
+
 // Lapsed records that the VM was without a lease.
 func (r *Restore) Lapsed() { r.lapsed = true }
 
@@ -32,3 +39,22 @@
 // that may have taken effect. Another one may have read from the copy a record that was replaced in the lost seconds, and waits until
 // nobody uses its successor under a lease of an earlier era, and until a VM that knows the successor has had time to write it again.
 func (r *Restore) MayUse(now time.Time) bool { return !r.lapsed || !now.Before(r.until) }
+
+// EraMark says that an era of the store had begun when the store's clock showed a time. The VMs keep one in the table of records, so that
+// a VM that is started later knows how long the leases of earlier eras have ended.
+type EraMark struct {
+	era uint64
+	at  time.Duration
+}
+
+// NewEraMark returns the mark of an era of which an answer told with the time at on the store's clock.
+func NewEraMark(era uint64, at time.Duration) EraMark { return EraMark{era: era, at: at} }
+
+// Era returns the era.
+func (m EraMark) Era() uint64 { return m.era }
+
+// At returns the time on the store's clock.
+func (m EraMark) At() time.Duration { return m.at }
+
+// Age returns how long the era has lasted at least when the store's clock shows storeTime.
+func (m EraMark) Age(storeTime time.Duration) time.Duration { return max(storeTime-m.at, 0) }
--- a/core/lead/restore_test.go
+++ b/core/lead/restore_test.go
@@ -72,3 +72,31 @@
 		}
 	}
 }
+
+func ExampleEraMark() {
+	now := time.Unix(1000, 0)
+	m := NewEraMark(2, 80*time.Second)
+	var r Restore
+	r.Begin(now, false) // a VM that starts
+	r.Began(now.Add(-m.Age(85 * time.Second)))
+	fmt.Println(r.MayUse(now), r.MayUse(now.Add(restoreWait-5*time.Second)))
+	fmt.Println(m.Age(79 * time.Second))
+	// Output:
+	// false true
+	// 0s
+}
+
+// Guards against a mark of an era that shortens the wait for the leases of the time before a later restore.
+func TestRestoreAfterMark(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var r Restore
+	r.Begin(now, false)
+	r.Began(now.Add(-time.Hour))
+	if !r.MayUse(now) || !r.MayReplace(now) {
+		t.Error("a VM waits although all leases of earlier eras ended long ago")
+	}
+	r.Begin(now, false)
+	if r.MayUse(now) || r.MayReplace(now) {
+		t.Error("a VM does not wait for the leases of the era that has just ended")
+	}
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -126,6 +126,7 @@
 	metrics := metric.NewSet(grant.Catalog(entry.Catalog(metric.NewRegistry())), metric.ReportInterval)
 	counters := map[event.ID]metric.Counter{
 		event.PanicRecovered: metrics.Counter(entry.Panics), event.EraChanged: metrics.Counter(entry.StoreEras),
+		event.PrimariesWait:   metrics.Counter(entry.StoreWaits),
 		event.RecordRewritten: metrics.Counter(entry.RecordsRewritten), event.EntryHeldBack: metrics.Counter(entry.EntriesHeldBack),
 	}
 	log := logs.NewCounting(lineLog, func(id event.ID) {
--- a/io/elect/check.go
+++ b/io/elect/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,6 +34,7 @@
 	e.logLeaseLoss()
 	now := e.clock()
 	e.logWait(now)
+	e.markEra(ctx, now)
 	for _, name := range e.groupsToCheck(view, now) {
 		pg, ok := e.pools.Group(name)
 		if !ok {
@@ -116,6 +116,7 @@
 			zap.Uint64("era", e.era))
 	case !waits && e.waitLogged && e.lease.Valid(now):
 		e.log.Event(event.PrimariesUsable, zap.Uint64("era", e.era))
+		e.notifyChanged()
 	}
 	e.waitLogged = waits || e.waitLogged && !e.lease.Valid(now)
 }
@@ -231,12 +232,7 @@
 	if g.actionDueSince.IsZero() {
 		g.actionDueSince = now
 	}
-	watching := e.watchersOf(name)
-	rank := slices.IndexFunc(watching, func(m lead.Member) bool { return m.Name() == e.name })
-	if rank < 0 {
-		rank = len(watching)
-	}
-	if now.Sub(g.actionDueSince) < time.Duration(rank)*rankDelay || now.Before(g.moveBlockedUntil) {
+	if now.Sub(g.actionDueSince) < time.Duration(e.rankAmong(e.watchersOf(name)))*rankDelay || now.Before(g.moveBlockedUntil) {
 		return actionNone
 	}
 	g.actionRunning = true
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -135,8 +135,14 @@
 	groups      map[string]*groupState
 	era         uint64 // the newest of the store of which this VM has heard
 	restore     lead.Restore
-	waitLogged  bool   // that no primary may be used yet, see logWait
-	listedEra   uint64 // of the newest list of VMs
+	waitLogged  bool         // that no primary may be used yet, see logWait
+	mark        lead.EraMark // the newest one in the store
+	markRow     era.Position // of the row with it
+	markRunning bool
+	markDue     time.Time     // since when this era needs a mark, zero if it has one
+	heardAt     time.Duration // the store's clock in the first answer of this era to a call of this VM, 0 before
+	eraBegan    time.Time     // by when this era had begun, zero if that is not known
+	listedEra   uint64        // of the newest list of VMs
 	epoch       uint64
 	recordsRead bool // all records have been read at least once in this era
 	lease       lead.Lease
@@ -435,6 +441,10 @@
 			e.epoch = max(e.epoch, uint64(row.Version))
 			continue
 		}
+		if row.Key == eraKey {
+			e.applyEraMark(row)
+			continue
+		}
 		group, r, ok, err := decodeRecord(row)
 		if err != nil {
 			e.log.Event(event.InvariantViolated, zap.Error(err))
@@ -447,6 +457,7 @@
 		e.recordsRead = true
 		e.findLostRecords(s)
 	}
+	e.learnEraAge(s)
 	if epochChanged || complete {
 		e.requestRenewal()
 	}
@@ -456,9 +467,14 @@
 // recordStoreClock records the store's clock from the answer to a request sent at sent. It ignores relayed answers. The caller
 // holds mu.
 func (e *Elector) recordStoreClock(sent time.Time, s port.Snapshot) {
-	if !s.Relayed && s.Version > 0 {
-		e.storeClock.RecordAnswer(sent, s.Clock)
+	if s.Relayed || s.Version == 0 {
+		return
+	}
+	e.storeClock.RecordAnswer(sent, s.Clock)
+	if e.heardAt == 0 && s.Version.Era() == e.era {
+		e.heardAt = s.Clock
 	}
+	e.learnEraAge(s)
 }
 
 // applyRow applies the record of a group in the row with this version. A row of a copy may hold a record that this VM knows to have been
@@ -494,6 +510,7 @@
 	now := e.clock()
 	e.restore.Begin(now, e.lease.Valid(now))
 	e.era, e.epoch, e.ownRowVersion, e.recordsRead, e.storeClock = c.To().Era(), 0, 0, false, lead.StoreClock{}
+	e.heardAt, e.markDue, e.eraBegan = 0, time.Time{}, time.Time{}
 	e.fleetChanged.Store(true)
 	e.checkAll()
 	e.notifyChanged()
--- a/io/elect/records.go
+++ b/io/elect/records.go
@@ -20,6 +20,7 @@
 	leadTable   = LeadTable
 	memberTable = "verbenagate-vms"
 	epochKey    = "epoch"
+	eraKey      = "era"
 	groupPrefix = "group/"
 )
 
@@ -37,6 +38,12 @@
 	Era uint64 `json:"era,omitempty"`
 }
 
+// eraRow is the stored form of a lead.EraMark. HeardMs is on the store's clock.
+type eraRow struct {
+	Era     uint64 `json:"era"`
+	HeardMs int64  `json:"heard_ms"`
+}
+
 // memberRow is the stored form of the leases that one VM has requested.
 type memberRow struct {
 	VMs []memberEntry `json:"vms"`
@@ -86,6 +93,19 @@
 	return group, r.WithPromotionOrdered(g.Ordered).WithVersion(uint64(written)), true, nil
 }
 
+func encodeEraMark(m lead.EraMark) (port.Row, error) {
+	value, err := json.Marshal(eraRow{Era: m.Era(), HeardMs: m.At().Milliseconds() + 1})
+	return port.Row{Table: leadTable, Key: eraKey, Value: value}, err
+}
+
+func decodeEraMark(value []byte) (lead.EraMark, error) {
+	var r eraRow
+	if err := json.Unmarshal(value, &r); err != nil {
+		return lead.EraMark{}, result.Wrap(result.InvalidConfig, err, "decoding the mark of the store's era")
+	}
+	return lead.NewEraMark(r.Era, time.Duration(r.HeardMs)*time.Millisecond), nil
+}
+
 // encodeMembers returns the row of a VM with the leases that it has requested, and with their continuity if that is set.
 func encodeMembers(vm string, members []lead.Member, continuity bool) (port.Row, error) {
 	var r memberRow
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -14,8 +14,9 @@
 	ConnsOpened       = "server_connections_opened_total"
 	ConnsReplaced     = "server_connections_replaced_total"
 	Choices           = "server_choices_total"
-	// StoreEras, RecordsRewritten and EntriesHeldBack show what followed from a store that came back from a copy.
+	// StoreEras, StoreWaits, RecordsRewritten and EntriesHeldBack show what followed from a store that came back from a copy.
 	StoreEras        = "store_eras_total"
+	StoreWaits       = "store_waits_total"
 	RecordsRewritten = "store_records_rewritten_total"
 	EntriesHeldBack  = "store_entries_held_back_total"
 )
@@ -36,6 +37,7 @@
 		Counter(ConnsReplaced, "connections", "Idle connections to servers closed for another workspace.").
 		Counter(Choices, "choices", "Attempts of statements to get a server.").
 		Counter(StoreEras, "eras", "Times that this VM has heard that the store came back from a copy.").
+		Counter(StoreWaits, "waits", "Times that this VM had a lease and used no primary yet, as leases of the time before the store came back may have gone on.").
 		Counter(RecordsRewritten, "records", "Records of primaries that the store had lost, written again by this VM.").
 		Counter(EntriesHeldBack, "entries", "Entries of servers in a copy of the store that were not used, since newer ones are known.")
 }
