core/lead, io/elect: VMs that the list of a copy lacks stay on the roster until they can have renewed

Cause: the first lists of an era show the leases of the copy, which have ended, and those renewed so far. What goes by lists took all other VMs for gone: candidates for tokens, watchers of primaries, agents, shares of connections. Class: a state that is read from a copy is taken for newer than what is known (io/watch has the same answer for servers).

--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -154,7 +154,7 @@
 	{EntryHeldBack, LayerFailover, "the entry of a server in a copy of the store is older than what is known of the server, and was not used", "None, unless the server is in use: then it has not written its entry since."},
 	{PrimariesWait, LayerFailover, "no primary is used until the leases of earlier eras of the store have ended", "None; the field until says when that is. If it lasts, check whether the store comes back from a copy again and again (721)."},
 	{PrimariesUsable, LayerFailover, "primaries may be used again after the store came back from a copy", "None."},
-	{FirstList, LayerFailover, "first list of VMs since the store came back from a copy", "None; live far below before says that most VMs have not renewed their leases yet."},
+	{FirstList, LayerFailover, "first list of VMs since the store came back from a copy", "None; kept counts the VMs that the list lacks and that stay on the roster, since they have not had time to renew their leases."},
 	{ConfigApplied, LayerConfig, "configuration revision in force", "None."},
 	{ConfigOlder, LayerConfig, "store holds an older configuration", "Find out why the store holds an older state; the VMs keep the newer configuration."},
 	{ConfigRefused, LayerConfig, "configuration change refused", "Correct the errors listed, or base the change on the current revision."},
--- a/core/lead/fleet.go
+++ b/core/lead/fleet.go
@@ -35,7 +35,7 @@
 			lingering = append(lingering, m)
 		}
 	}
-	slices.SortFunc(lingering, func(a, b Member) int { return cmp.Compare(a.name, b.name) })
+	slices.SortFunc(lingering, compareNames)
 	return f.WithLingering(lingering)
 }
 
@@ -52,10 +52,15 @@
 // Present returns the live VMs and those that are present without a lease, ordered by name.
 func (f Fleet) Present() []Member {
 	all := slices.Concat(f.live, f.lingering)
-	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.name, b.name) })
+	slices.SortFunc(all, compareNames)
 	return all
 }
 
+// Size returns the number of present VMs.
+func (f Fleet) Size() int { return len(f.live) + len(f.lingering) }
+
+func compareNames(a, b Member) int { return cmp.Compare(a.name, b.name) }
+
 // Live returns the live VMs, ordered by name. Their epochs and lease ends are not part of the fleet.
 func (f Fleet) Live() []Member { return f.live }
 
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -167,12 +167,7 @@
 			live = append(live, m)
 		}
 	}
-	slices.SortFunc(live, func(a, b Member) int {
-		if a.name < b.name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(live, compareNames)
 	return live
 }
 
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -143,6 +143,7 @@
 	heardAt     time.Duration // the store's clock in the first answer of this era to a call of this VM, 0 before
 	eraBegan    time.Time     // by when this era had begun, zero if that is not known
 	listedEra   uint64        // of the newest list of VMs
+	roster      lead.Roster
 	epoch       uint64
 	recordsRead bool // all records have been read at least once in this era
 	lease       lead.Lease
@@ -509,6 +510,7 @@
 	defer e.mu.Unlock()
 	now := e.clock()
 	e.restore.Begin(now, e.lease.Valid(now))
+	e.roster.Restored(now)
 	e.era, e.epoch, e.ownRowVersion, e.recordsRead, e.storeClock = c.To().Era(), 0, 0, false, lead.StoreClock{}
 	e.heardAt, e.markDue, e.eraBegan = 0, time.Time{}, time.Time{}
 	e.fleetChanged.Store(true)
@@ -675,24 +677,28 @@
 	if err != nil {
 		return
 	}
-	e.logFirstList(fleet)
+	asOf := sent.Add(-maxAge)
+	fleet = e.updateRoster(fleet, asOf)
 	e.applyFleet(fleet)
 	if e.onMembers != nil {
-		e.onMembers(fleet.Present(), sent.Add(-maxAge))
+		e.onMembers(fleet.Present(), asOf)
 	}
 	if e.readsFreshLists() && e.needsContinuity() {
 		e.proveContinuity(ctx)
 	}
 }
 
-// logFirstList logs the first list of VMs since the store has come back from a copy.
-func (e *Elector) logFirstList(fleet lead.Fleet) {
+// updateRoster returns the VMs that this VM goes by after a list of VMs as of asOf.
+func (e *Elector) updateRoster(list lead.Fleet, asOf time.Time) lead.Fleet {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	f := e.roster.Update(list, asOf, e.clock())
 	if len(e.members) > 0 && e.listedEra != e.era {
-		e.log.Event(event.FirstList, zap.Uint64("era", e.era), zap.Int("live", len(fleet.Live())), zap.Int("before", len(e.members)))
+		e.log.Event(event.FirstList, zap.Uint64("era", e.era), zap.Int("live", len(list.Live())), zap.Int("kept", f.Size()-list.Size()),
+			zap.Int("before", len(e.members)))
 	}
 	e.listedEra = e.era
+	return f
 }
 
 // applyFleet updates all that is derived from the list of VMs, if the list has changed.
