io/relay, io/elect: a renewal tells a VM of the era in which it was granted

What callers could get: two primaries of a group, and writes that are acknowledged and lost. Cause: the reply of an agent to a renewal named no era, and a VM whose records name no epoch has the same one in each era. A VM behind an agent that was the first to hear of the era got a lease of the new era while it went by the old one: its lease had ended, it used primaries at once, and when it heard of the era 0.3 s later it held a lease and did not wait. Class: a reply of another VM without a position. The others have one. TestRenewalTellsOfEra failed. Change: the reply has the era, the VM hears of it before it takes the lease, and a renewal over a change of the era is made again after the records have been read.

--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -607,7 +607,7 @@
 		return 0, nil
 	}
 	e.mu.Lock()
-	sent, epoch := e.clock(), e.epoch
+	sent, epoch, inEra := e.clock(), e.epoch, e.era
 	var suspected []string
 	for _, g := range e.groups {
 		if g.record.Phase() == lead.Moving {
@@ -626,6 +626,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.era != inEra {
+		return 0, port.ErrConflict // The renewal may be of the new era, of which this VM has not read the records yet.
+	}
 	if now := e.clock(); !now.Before(e.lease.Until().Add(lead.Linger)) {
 		e.leaseSince, e.provenSince = now, time.Time{}
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -102,7 +102,7 @@
 		ctx, cancel := context.WithTimeout(ctx, notice.RenewTimeout)
 		defer cancel()
 		next, err := r.granterOf().Grant(ctx, q.member(), q.Leave)
-		answer := newReply(port.Snapshot{}, err)
+		answer := newReply(port.Snapshot{Version: era.At(r.newestEra(), 0)}, err)
 		answer.NextRenewal = next
 		return answer, nil
 	})
@@ -195,6 +195,9 @@
 	}, func(a lead.Member) (time.Duration, error) {
 		defer r.doubtAfter(notice.DoubtAfter, a.Name())()
 		answer, err := r.call(ctx, a, agentCall{method: link.Renew, args: newRenewCall(m, leave), timeout: notice.RenewTimeout})
+		if err == nil && !r.observe(answer.Version) {
+			err = endedEraError(a, answer.Version)
+		}
 		if err == nil {
 			_, err = answer.snapshot("")
 		}
@@ -227,8 +230,7 @@
 			return lead.Fleet{}, err
 		}
 		if answer.Error == "" && r.eras != nil && !r.eras.Observe(era.At(answer.Era, 0)) {
-			return lead.Fleet{}, result.New(result.StoreUnavailable,
-				"agent %s replied from era %d of the store, which has ended", a.Name(), answer.Era)
+			return lead.Fleet{}, endedEraError(a, era.At(answer.Era, 0))
 		}
 		f, err := answer.fleet(known)
 		if err == nil {
@@ -339,6 +341,11 @@
 	return local()
 }
 
+// endedEraError returns the reason why the reply of an agent is dropped.
+func endedEraError(a lead.Member, p era.Position) error {
+	return result.New(result.StoreUnavailable, "agent %s replied from an era of the store that has ended: %s", a.Name(), p)
+}
+
 // isStoreOutcome reports whether err is the outcome that the store gave, so that calling another agent is useless.
 func isStoreOutcome(err error) bool {
 	return err == nil || errors.Is(err, port.ErrConflict) || errors.Is(err, port.ErrHistoryGone)
@@ -366,8 +373,7 @@
 			return port.Snapshot{}, err
 		}
 		if !r.observe(answer.Version) {
-			return port.Snapshot{}, result.New(result.StoreUnavailable, "agent %s replied from an era of the store that has ended: %s",
-				a.Name(), answer.Version)
+			return port.Snapshot{}, endedEraError(a, answer.Version)
 		}
 		return answer.snapshot(q.table)
 	}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -654,3 +654,25 @@
 		})
 	}
 }
+
+// Guards against a lease of a new era of the store at a VM that goes on as if the old one lasted: it would use primaries at once after its
+// lease had ended, while others may have replaced them.
+func TestRenewalTellsOfEra(t *testing.T) {
+	g := gomega.NewWithT(t)
+	agent, behind := newVM(t, "agent", newFakeStore()), newVM(t, "behind", newFakeStore())
+	atAgent, atVM := platform.NewStore("", ""), platform.NewStore("", "")
+	agent.SetEras(atAgent)
+	behind.SetEras(atVM)
+	behind.SetAgents([]lead.Member{agent.member()})
+	var heard []era.Changed
+	atVM.OnChange(func(c era.Changed) { heard = append(heard, c) })
+	g.Expect(behind.renew(t, false)).To(gomega.Succeed())
+	g.Expect(heard).To(gomega.BeEmpty())
+	atAgent.Observe(era.At(2, 7))
+	g.Expect(behind.renew(t, false)).To(gomega.Succeed())
+	g.Expect(heard).To(gomega.HaveLen(1))
+	g.Expect(atVM.Era()).To(gomega.BeEquivalentTo(2))
+	atVM.Observe(era.At(3, 1))
+	g.Expect(behind.renew(t, false)).To(gomega.Succeed())
+	g.Expect(behind.granter.recordedRenewals()).To(gomega.HaveLen(1), "the agent's era has ended, so the VM renews by itself")
+}
