core/quota: holders of quotas go on when the store comes back from a copy

The tokens are granted by six VMs, which all ceased to hold anything. Cause: no list of VMs of the first 11.1 s of an era counted, as one that is read from a copy may lack a VM that holds a key, and the last list from before ends up to 11 s after it was read. A VM that started heard of its first era and waited as well. Change: the list from before stays on the roster, and lists count at once for a VM whose last one is younger than 11 s. The wait of other VMs counts from the mark of the era, and proofs of presence from after it. Run: go test of core/quota, core/lead, io/grant passed.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -17,7 +17,7 @@
 	// ListLife is how long a list of live VMs that names a VM as holder of a key lets it grant tokens. A VM that has just got its lease
 	// waits as long, until all others have seen it. It is as long as a VM is present after the last renewal of its lease, so that a
 	// holder outlasts the same outages of the store with its list as with its lease.
-	ListLife = lead.LeaseDuration + lead.Linger
+	ListLife = lead.PresentFor
 	// clockMargin is added to the wait: the clocks of two VMs may run at rates that differ a little.
 	clockMargin = 100 * time.Millisecond
 )
@@ -68,18 +68,27 @@
 
 // Holder decides which keys this VM holds. It is not safe for concurrent use.
 //
-// A VM holds a key while it is present (it has a lease, or had one less than lead.Linger ago) and has been so for ListLife without a gap, and
-// while one of the lists of present VMs of the last ListLife names it as the first candidate. Two VMs cannot both hold a key: the one that
-// comes first in the order of the key has been present for ListLife, so it is in each list on which the other one could rely.
+// A VM holds a key while it is present and has been so for ListLife without a gap, it has renewed its lease since then, and one of the lists
+// of present VMs of the last ListLife names it as the first candidate. Two VMs cannot both hold a key: the one that comes first in the
+// order of the key has been present for ListLife, so it is in each list on which the other one could rely.
+//
+// A list of a new era of the store may lack a VM that has been present throughout. But a VM that held keys, or could have, had renewed its
+// lease ListLife after it became present, before the store came back. So it is in every list that is younger than ListLife when
+// the store comes back, and lead.Roster keeps it. A VM with such a list goes on with its roster. One without counts no list until all
+// presences of earlier eras have ended; and a VM that had not renewed its lease in that way waits as if it had just become present.
 type Holder struct {
-	leaseSince, leaseUntil, provenSince time.Time
+	presence lead.Presence
+	claimed  time.Time // the proof of presence as it was reported
+	proven   time.Time // what of it is certain
 
 	named map[Key]naming
 	lent  map[Key]lent
 	terms map[Key]time.Time // the starts of the terms that Term returned last
 
-	restored time.Time // when this VM heard that the store had come back from a copy, zero if it hasn't
-	newFrom  time.Time // as of when lists count again
+	newest  time.Time // as of when the newest list was that counts
+	newFrom time.Time // as of when lists count without those from before the store came back, zero if it never did
+	goesOn  bool      // lists count before newFrom, too
+	joins   bool      // the VM counts as present only since it has had a lease of this era
 }
 
 // naming says that lists of live VMs named this VM as holder.
@@ -88,43 +97,79 @@
 	asOf  time.Time // of the last list
 }
 
-// SetLease sets since when the lease of this process has been valid without a gap, and its end. Proven is since when leases of this VM,
-// also those of an earlier process, have been valid without a gap, zero if that is not known. A proof that was read from a copy of the store
-// counts for nothing, as it may lack a gap.
-func (h *Holder) SetLease(since, until, proven time.Time) {
-	isNew := !since.Equal(h.leaseSince) || h.provenSince.IsZero()
-	if isNew && proven.Before(h.restored) {
-		proven = time.Time{}
+// SetPresence sets the presence of this VM.
+func (h *Holder) SetPresence(p lead.Presence) {
+	if began := p.EraBegan(); !began.IsZero() && began.Add(ListLife+clockMargin).Before(h.newFrom) {
+		h.newFrom = began.Add(ListLife + clockMargin)
+	}
+	if !p.Since().Equal(h.presence.Since()) || !p.Proven().Equal(h.claimed) {
+		h.claimed, h.proven = p.Proven(), h.certain(p.Proven())
 	}
-	h.leaseSince, h.leaseUntil, h.provenSince = since, until, proven
+	h.presence = p
 }
 
-// ready returns from when on this VM may hold keys. An earlier process of the VM may have lent keys, of which this one knows nothing.
-func (h *Holder) ready() time.Time {
-	ready := h.leaseSince.Add(ListLife + clockMargin)
-	if h.provenSince.IsZero() {
-		return ready
-	}
-	proven := h.provenSince.Add(ListLife + clockMargin)
-	proven = latest(proven, h.leaseSince.Add(loanLife+loanMargin))
-	if proven.Before(ready) {
+// certain returns since when the VM has certainly been present if the store's rows say that it has been so since proven. Rows of a copy may
+// lack a gap in the seconds that were lost; those about the time after all presences of earlier eras do not.
+func (h *Holder) certain(proven time.Time) time.Time {
+	if proven.IsZero() {
 		return proven
 	}
-	return ready
+	return latest(proven, h.newFrom)
+}
+
+// joined returns since when this process has been present for all other VMs, zero if it isn't yet.
+func (h *Holder) joined() time.Time {
+	if !h.joins {
+		return h.presence.Since()
+	}
+	if h.presence.InEra().IsZero() {
+		return time.Time{}
+	}
+	return latest(h.presence.Since(), h.presence.InEra())
+}
+
+// listed returns from when on this VM is in all lists that count for another one, and false if that is not known yet.
+func (h *Holder) listed() (time.Time, bool) {
+	since := h.joined()
+	if since.IsZero() || !h.proven.IsZero() && h.proven.Before(since) {
+		since = h.proven
+	}
+	return since.Add(ListLife + clockMargin), !since.IsZero()
+}
+
+// confirmed reports whether this VM has renewed its lease since it has been in all lists that count.
+func (h *Holder) confirmed() bool {
+	from, ok := h.listed()
+	return ok && !h.presence.Until().Add(-ListLife).Before(from)
 }
 
-// Restored records at now that the store has come back from a copy. For ListLife, its lists may lack a VM that has been present throughout,
-// so none as of that time counts: a VM holds a key only as long as the last list from before lets it, and anew with the first one from after.
-func (h *Holder) Restored(now time.Time) { h.restored, h.newFrom = now, now.Add(ListLife+clockMargin) }
+// ready returns from when on this VM may hold keys, and false if that is not known yet. An earlier process of the VM may have lent keys, of
+// which this one knows nothing.
+func (h *Holder) ready() (time.Time, bool) {
+	from, ok := h.listed()
+	return latest(from, h.presence.Since().Add(loanLife+loanMargin)), ok
+}
+
+// Restored records at now that the store has come back from a copy.
+func (h *Holder) Restored(now time.Time) {
+	h.joins = !h.confirmed()
+	if h.joins {
+		h.proven = time.Time{}
+	}
+	h.goesOn = !h.newest.IsZero() && now.Before(h.newest.Add(ListLife))
+	h.newFrom = now.Add(ListLife + clockMargin)
+}
 
-// Settling reports whether lists count again soon, after the store has come back from a copy. They are then to be read often.
+// Settling reports whether lists of a new era of the store are to be read often.
 func (h *Holder) Settling(now time.Time) bool { return now.Before(h.newFrom.Add(ListLife)) }
 
-// SetNamed records a list of live VMs as of asOf, in which this VM is the first candidate of keys.
+// SetNamed records a list of live VMs as of asOf, in which this VM is the first candidate of keys. After the store has come back from a copy,
+// the list is that of a lead.Roster.
 func (h *Holder) SetNamed(keys []Key, asOf, now time.Time) {
-	if asOf.Before(h.newFrom) {
+	if asOf.Before(h.newFrom) && !h.goesOn {
 		return
 	}
+	h.newest = latest(h.newest, asOf)
 	if h.named == nil {
 		h.named = make(map[Key]naming)
 	}
@@ -148,7 +193,7 @@
 		return time.Time{}, false
 	}
 	// A term that goes on keeps its start, also if it is proven later that it could have begun earlier.
-	if t, ok := h.terms[k]; ok && !t.Before(h.leaseSince) && !t.Before(h.named[k].since) && !t.Before(lent.until) {
+	if t, ok := h.terms[k]; ok && !t.Before(h.presence.Since()) && !t.Before(h.named[k].since) && !t.Before(lent.until) {
 		return t, true
 	}
 	if h.terms == nil {
@@ -173,13 +218,13 @@
 
 // termOf returns since when this VM has held a key without a gap, lent or not, and until when at least it will.
 func (h *Holder) termOf(k Key, now time.Time) (since, until time.Time, ok bool) {
-	n, ok := h.named[k]
-	ready := h.ready()
+	n, named := h.named[k]
+	ready, known := h.ready()
 	until = n.asOf.Add(ListLife)
-	if h.leaseUntil.Before(until) {
-		until = h.leaseUntil
+	if end := h.presence.Until(); end.Before(until) {
+		until = end
 	}
-	if !ok || h.leaseSince.IsZero() || now.Before(ready) || !now.Before(until) {
+	if !named || !known || !h.confirmed() || now.Before(ready) || !now.Before(until) {
 		return time.Time{}, time.Time{}, false
 	}
 	return latest(ready, n.since), until, true
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -113,6 +114,23 @@
 // have lapsed since as present without a gap.
 func TestOneHolderOverEras(t *testing.T) { checkOneHolder(t, 7) }
 
+func (h *Holder) holdsUnlent(k Key, now time.Time) bool {
+	_, ok := h.Term(k, now)
+	return ok
+}
+
+// holders returns how many running VMs hold a key.
+func (s *sim) holders(k Key, holds func(*Holder, Key, time.Time) bool) int {
+	n := 0
+	for _, v := range s.vms {
+		v.holder.SetPresence(v.presence())
+		if holds(&v.holder, k, s.now) && v.running && !s.now.Before(v.frozenUntil) {
+			n++
+		}
+	}
+	return n
+}
+
 // checkOneHolder plays random histories of these kinds of events.
 func checkOneHolder(t *testing.T, kinds int) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -122,7 +140,7 @@
 			v := s.vms[s.rng.IntN(len(s.vms))]
 			switch s.rng.IntN(kinds) {
 			case 6:
-				s.restore()
+				s.drill(time.Duration(s.rng.IntN(10000)) * time.Millisecond)
 			case 0:
 				s.stop(v)
 			case 1, 2:
@@ -142,15 +160,8 @@
 			for s.now.Before(end) {
 				s.runUntil(s.now.Add(50 * time.Millisecond))
 				for _, k := range Keys()[:4] {
-					holders := 0
-					for _, v := range s.vms {
-						v.holder.SetLease(v.leaseSince, v.leaseUntil, v.provenSince)
-						if _, ok := v.holder.Term(k, s.now); ok && v.running && !s.now.Before(v.frozenUntil) {
-							holders++
-						}
-					}
-					if holders > 1 {
-						t.Fatalf("%d VMs hold %s at %s", holders, k, s.now)
+					if n := s.holders(k, (*Holder).holdsUnlent); n > 1 {
+						t.Fatalf("%d VMs hold %s at %s", n, k, s.now)
 					}
 				}
 			}
@@ -158,6 +169,32 @@
 	})
 }
 
+// Guards against workspaces whose operations are all refused after a restore, since no VM holds their portions.
+func TestHoldersGoOnOverRestores(t *testing.T) {
+	for _, c := range []struct{ copyAge, away, between time.Duration }{
+		{time.Second, 0, time.Minute},
+		{9 * time.Second, 2 * time.Second, time.Minute},
+		{19 * time.Second, 5 * time.Second, time.Minute},
+		{9 * time.Second, 2 * time.Second, 5 * time.Second},
+	} {
+		s := newSim(1, 8, 2)
+		s.backUp()
+		s.runUntil(s.now.Add(40 * time.Second))
+		for range 2 {
+			s.backups = slices.DeleteFunc(s.backups, func(b simBackup) bool { return s.now.Sub(b.at) > c.copyAge })[:1]
+			s.drill(c.away)
+			for end := s.now.Add(c.away + c.between); s.now.Before(end); {
+				s.runUntil(s.now.Add(50 * time.Millisecond))
+				for _, k := range Keys() {
+					if n := s.holders(k, (*Holder).Holds); n != 1 {
+						t.Fatalf("copy of %s, away for %s, every %s: %d VMs hold %s at %s", c.copyAge, c.away, c.between, n, k, s.now)
+					}
+				}
+			}
+		}
+	}
+}
+
 // Guards against a portion that is granted by its holder and by a borrower at once, one that is lent to two VMs, and a new process that
 // does not know what the one before it has lent.
 func TestLoans(t *testing.T) {
@@ -165,7 +202,7 @@
 	now := time.Unix(10000, 0)
 	k := NewKey(3, 2)
 	var h Holder
-	h.SetLease(now.Add(-time.Hour), now.Add(5*time.Second), time.Time{})
+	h.SetPresence(lead.NewPresence(now.Add(-time.Hour), now.Add(5*time.Second), time.Time{}))
 	h.SetNamed([]Key{k, MainKey(3)}, now, now)
 	holds := func(h *Holder, at time.Time) bool {
 		_, ok := h.Term(k, at)
@@ -188,7 +225,7 @@
 	g.Expect(life).To(gomega.Equal(100*time.Millisecond), "no longer than this VM holds it")
 
 	var restarted Holder
-	restarted.SetLease(now, now.Add(time.Minute), now.Add(-time.Hour))
+	restarted.SetPresence(lead.NewPresence(now, now.Add(time.Minute), now.Add(-time.Hour)))
 	restarted.SetNamed([]Key{k}, now, now)
 	g.Expect(holds(&restarted, now.Add(loanLife))).To(gomega.BeFalse())
 	g.Expect(holds(&restarted, now.Add(time.Second))).To(gomega.BeTrue())
@@ -488,3 +525,83 @@
 	loans[1] = Loan{Since: now, Until: now.Add(loanLife)}
 	g.Expect(b.Grant(a, high, start, loans, now, "vm").Tokens).To(gomega.BeNumerically("<=", high.Portion(mainPortion).Burst()))
 }
+
+// Guards against a VM that holds keys after a restore on the strength of what the copy of the store, or its own time before, cannot prove.
+func TestHolderAfterRestore(t *testing.T) {
+	start := time.Unix(10000, 0)
+	k := NewKey(3, 2)
+	for _, c := range []struct {
+		name     string
+		present  lead.Presence // when the store comes back at start
+		listAge  time.Duration // of the last list before, 0 if there was none
+		renewed  lead.Presence // from then on
+		holdFrom time.Duration // after the return, with a list each second
+	}{
+		{
+			"a holder with a recent list goes on",
+			lead.NewPresence(start.Add(-time.Hour), start.Add(9*time.Second), time.Time{}), 3 * time.Second,
+			lead.NewPresence(start.Add(-time.Hour), start.Add(time.Hour), time.Time{}).WithEra(start, start), 0,
+		},
+		{
+			"a holder whose last list has ended waits for lists without VMs of the time before",
+			lead.NewPresence(start.Add(-time.Hour), start.Add(9*time.Second), time.Time{}), ListLife,
+			lead.NewPresence(start.Add(-time.Hour), start.Add(time.Hour), time.Time{}).WithEra(start, start), ListLife + clockMargin,
+		},
+		{
+			"a VM that has not renewed its lease since it is in all lists waits as one that joins",
+			lead.NewPresence(start.Add(-ListLife), start.Add(9*time.Second), time.Time{}), 3 * time.Second,
+			lead.NewPresence(start.Add(-ListLife), start.Add(time.Hour), time.Time{}).WithEra(start.Add(4*time.Second), start),
+			4*time.Second + ListLife + clockMargin,
+		},
+		{
+			"a proof of presence that is read from the copy counts only as of when no presence of the time before goes on",
+			lead.Presence{},
+			0,
+			lead.NewPresence(start, start.Add(time.Hour), start.Add(-time.Hour)).WithEra(start, start.Add(-2*time.Second)),
+			ListLife + clockMargin,
+		},
+		{
+			"a VM that starts long after the return goes on with the proof of its presence",
+			lead.Presence{},
+			0,
+			lead.NewPresence(start, start.Add(time.Hour), start.Add(-time.Hour)).WithEra(start, start.Add(-time.Minute)), loanLife + loanMargin,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var h Holder
+			h.SetPresence(c.present)
+			if c.listAge > 0 {
+				h.SetNamed([]Key{k}, start.Add(-c.listAge), start.Add(-c.listAge))
+			}
+			h.Restored(start)
+			const step = 50 * time.Millisecond
+			for after := time.Duration(0); after < 30*time.Second; after += step {
+				now := start.Add(after)
+				h.SetPresence(c.renewed)
+				if after%time.Second == 0 {
+					h.SetNamed([]Key{k}, now, now)
+				}
+				if late := after - c.holdFrom; h.Holds(k, now) != (late >= 0) && (late < 0 || late > time.Second) {
+					t.Fatalf("%s after the return: the VM holds the key is %t, want it from %s on", after, h.Holds(k, now), c.holdFrom)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a VM that begins to hold a key although no renewal shows that it is in the lists of the others.
+func TestHolderRenewsFirst(t *testing.T) {
+	now := time.Unix(10000, 0)
+	k := NewKey(3, 2)
+	var h Holder
+	joined := now.Add(-ListLife - clockMargin)
+	h.SetPresence(lead.NewPresence(joined, joined.Add(time.Second).Add(ListLife), time.Time{}))
+	h.SetNamed([]Key{k}, now, now)
+	if h.Holds(k, now) {
+		t.Error("a VM holds a key whose lease was renewed last 1 s after it joined")
+	}
+	h.SetPresence(lead.NewPresence(joined, now.Add(ListLife), time.Time{}))
+	if !h.Holds(k, now) {
+		t.Error("a VM that has been in all lists does not hold its key")
+	}
+}
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -119,10 +119,20 @@
 	lines                  map[string]*simLine
 	leaseSince, leaseUntil time.Time
 	provenSince            time.Time
+	inEra, eraBegan        time.Time
+	roster                 lead.Roster
 	live                   []lead.Member
 	era                    int // the newest of which it has heard
 }
 
+func (v *simVM) presence() lead.Presence {
+	p := lead.Presence{}
+	if !v.leaseUntil.IsZero() {
+		p = lead.NewPresence(v.leaseSince, v.leaseUntil, v.provenSince)
+	}
+	return p.WithEra(v.inEra, v.eraBegan)
+}
+
 func (v *simVM) wallet(name string) *Wallet {
 	w := v.wallets[name]
 	if w == nil {
@@ -146,6 +156,8 @@
 	leases     map[string]simLease // on the store's clock
 	backups    []simBackup         // copies of the last simBackupAge, one a second, from which the store may come back
 	era        int                 // how often it did
+	away       bool                // the store answers nobody
+	marks      map[int]time.Time   // when a VM first heard of an era, as the store's rows say
 	workspaces []*simWorkspace
 	messages   int // calls to other VMs, without their replies
 	asks       int
@@ -155,7 +167,7 @@
 
 func newSim(seed uint64, vms, dataCentres int) *sim {
 	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), byAddress: make(map[string]*simVM), leases: make(map[string]simLease),
+		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), byAddress: make(map[string]*simVM), leases: make(map[string]simLease), marks: make(map[int]time.Time),
 	}
 	for i := range vms {
 		name := fmt.Sprintf("vm-%d", i)
@@ -209,6 +221,7 @@
 	v.holder, v.asker, v.books, v.borrower = Holder{}, NewAsker(v.member), Books{}, Borrower{}
 	v.wallets, v.lines = make(map[string]*Wallet), make(map[string]*simLine)
 	v.leaseSince, v.leaseUntil, v.provenSince, v.live, v.era = time.Time{}, time.Time{}, time.Time{}, nil, 0
+	v.inEra, v.eraBegan, v.roster = time.Time{}, time.Time{}, lead.Roster{}
 	s.after(time.Duration(s.rng.Int64N(int64(300*time.Millisecond))), v, func() { s.renew(v) })
 	s.after(time.Duration(s.rng.Int64N(int64(600*time.Millisecond))), v, func() { s.readList(v) })
 	s.after(time.Duration(s.rng.Int64N(int64(LoanInterval))), v, func() { s.borrow(v) })
@@ -240,11 +253,25 @@
 	}
 }
 
+// drill lets the store be away for a while, and brings it back from a copy.
+func (s *sim) drill(away time.Duration) {
+	s.away = true
+	s.after(away, nil, func() {
+		s.restore()
+		s.away = false
+	})
+}
+
 // hear passes on an answer of an era to a VM. It reports false if the VM drops the answer.
 func (s *sim) hear(v *simVM, era int) bool {
 	if era > v.era {
 		v.era = era
+		v.inEra, v.eraBegan = time.Time{}, time.Time{}
+		v.roster.Restored(s.now)
 		v.holder.Restored(s.now)
+		if _, marked := s.marks[era]; !marked {
+			s.marks[era] = s.now
+		}
 	}
 	return era == v.era
 }
@@ -252,7 +279,7 @@
 func (s *sim) renew(v *simVM) {
 	sent := s.now
 	s.after(lead.RenewInterval, v, func() { s.renew(v) })
-	if v.cut {
+	if v.cut || s.away {
 		return
 	}
 	s.after(s.delay(), nil, func() {
@@ -272,6 +299,9 @@
 			if end := sent.Add(ListLife); end.After(v.leaseUntil) {
 				v.leaseUntil = end
 			}
+			if v.inEra.IsZero() {
+				v.inEra = s.now
+			}
 		})
 	})
 }
@@ -286,7 +316,7 @@
 		next = simFreshInterval
 	}
 	s.after(next, v, func() { s.readList(v) })
-	if v.cut {
+	if v.cut || s.away {
 		return
 	}
 	s.after(s.delay(), nil, func() {
@@ -297,11 +327,16 @@
 			}
 		}
 		own, read, era := s.leases[v.member.Name()], s.now, s.era
+		mark, marked := s.marks[era]
 		s.after(s.delay(), v, func() {
 			if !s.hear(v, era) {
 				return
 			}
+			live = v.roster.Update(lead.NewFleet(live, len(live)), sent.Add(-simListMaxAge), s.now).Present()
 			v.live = live
+			if marked && era > 0 {
+				v.eraBegan = s.now.Add(mark.Sub(read))
+			}
 			if !v.leaseSince.IsZero() && !v.leaseSince.After(sent) && s.now.Before(v.leaseUntil) && read.Before(own.until) {
 				v.provenSince = s.now.Add(own.since.Sub(read))
 			}
@@ -313,7 +348,7 @@
 // borrow asks for the portions above those that v holds.
 func (s *sim) borrow(v *simVM) {
 	s.after(LoanInterval, v, func() { s.borrow(v) })
-	v.holder.SetLease(v.leaseSince, v.leaseUntil, v.provenSince)
+	v.holder.SetPresence(v.presence())
 	for shard := range Shards() {
 		borrower, ok := v.holder.Borrowing(shard, s.now)
 		if !ok {
@@ -326,7 +361,7 @@
 			}
 			target, sent := s.byAddress[m.Address()], s.now
 			lend := func() {
-				target.holder.SetLease(target.leaseSince, target.leaseUntil, target.provenSince)
+				target.holder.SetPresence(target.presence())
 				life, ok := target.holder.Lend(k, v.member.Name(), borrower, s.now)
 				if target == v && ok {
 					v.borrower.Record(borrower, k, sent, life, s.now)
@@ -482,7 +517,7 @@
 // grant returns the grants of the VM v, nil for the portions that it does not hold.
 func (s *sim) grant(v, to *simVM, asks []Ask, groups [][]simWaiter) []*Grant {
 	all := make([]*Grant, len(asks))
-	v.holder.SetLease(v.leaseSince, v.leaseUntil, v.provenSince)
+	v.holder.SetPresence(v.presence())
 	for i, a := range asks {
 		if term, ok := v.holder.Term(KeyOf(a.Workspace, a.Portion), s.now); ok {
 			g := v.books.Grant(a, groups[i][0].ws.limit, term, v.borrower.Loans(KeyOf(a.Workspace, a.Portion)), s.now, to.member.Name())
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -167,7 +167,7 @@
 	agents.SetGranter(e.elector)
 	e.owner = remote.NewOwner(ctx, e.pools, e.elector, forwarder, Clock, log)
 	config := func() layout.Config { return e.directory.View().Config() }
-	e.quotas = grant.New(ctx, self, clients, e.elector.LeaseSpan, config, metrics, Clock, log)
+	e.quotas = grant.New(ctx, self, clients, e.elector.Presence, config, metrics, Clock, log)
 	e.elector.OnMembers(e.quotas.SetMembers, e.quotas.Holds, e.quotas.Limited)
 	e.peers = link.NewServer(ctx, Clock, log)
 	e.quotas.Register(e.peers)
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -142,6 +142,7 @@
 	markDue     time.Time     // since when this era needs a mark, zero if it has one
 	heardAt     time.Duration // the store's clock in the first answer of this era to a call of this VM, 0 before
 	eraBegan    time.Time     // by when this era had begun, zero if that is not known
+	inEra       time.Time     // since when this VM has had a lease of this era, zero before
 	listedEra   uint64        // of the newest list of VMs
 	roster      lead.Roster
 	epoch       uint64
@@ -220,16 +221,14 @@
 	e.onMembers, e.needsFresh, e.needsContinuity = f, needsFresh, needsContinuity
 }
 
-// LeaseSpan returns since when this process has been present without a gap, its lease valid or ended less than lead.Linger ago, and until
-// when it will be. Proven is since when this VM, also with an earlier process, has been present without a gap; it is zero if that is not
-// known. All are zero without a lease.
-func (e *Elector) LeaseSpan() (since, until, proven time.Time) {
+// Presence returns the presence of this VM, the zero Presence if it never had a lease.
+func (e *Elector) Presence() lead.Presence {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.lease.Until().IsZero() {
-		return time.Time{}, time.Time{}, time.Time{}
+		return lead.Presence{}.WithEra(time.Time{}, e.eraBegan)
 	}
-	return e.leaseSince, e.lease.Until().Add(lead.Linger), e.provenSince
+	return lead.NewPresence(e.leaseSince, e.lease.Until().Add(lead.Linger), e.provenSince).WithEra(e.inEra, e.eraBegan)
 }
 
 // proveContinuity reads from the store since when leases of this VM have been valid without a gap. A VM whose process was started again
@@ -512,7 +511,7 @@
 	e.restore.Begin(now, e.lease.Valid(now))
 	e.roster.Restored(now)
 	e.era, e.epoch, e.ownRowVersion, e.recordsRead, e.storeClock = c.To().Era(), 0, 0, false, lead.StoreClock{}
-	e.heardAt, e.markDue, e.eraBegan = 0, time.Time{}, time.Time{}
+	e.heardAt, e.markDue, e.eraBegan, e.inEra = 0, time.Time{}, time.Time{}, time.Time{}
 	e.fleetChanged.Store(true)
 	e.checkAll()
 	e.notifyChanged()
@@ -636,6 +635,9 @@
 		e.restore.Lapsed()
 	}
 	e.lease.Renew(sent, epoch)
+	if e.inEra.IsZero() {
+		e.inEra = e.clock()
+	}
 	if !e.leaseHeld {
 		e.leaseHeld = true
 		e.log.Event(event.LeaseRenewed, zap.Uint64("epoch", epoch))
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -38,9 +38,8 @@
 	maxTokens = 1_000_000
 )
 
-// Lease returns since when the lease of this process has been valid without a gap, its end, and since when leases of this VM have been
-// valid without a gap, zero if that is not known.
-type Lease func() (since, until, proven time.Time)
+// Presence returns the presence of this VM.
+type Presence func() lead.Presence
 
 // Config returns the configuration in force.
 type Config func() layout.Config
@@ -48,16 +47,16 @@
 // Desk admits the operations of this VM's callers, and grants tokens to all VMs for the portions that it holds. It is safe for concurrent
 // use.
 type Desk struct {
-	ctx     context.Context
-	started time.Time
-	self    lead.Member
-	clients *link.Clients
-	lease   Lease
-	config  Config
-	clock   func() time.Time
-	log     logs.Logger
-	refused map[reason]metric.Counter
-	asked   metric.Counter
+	ctx      context.Context
+	started  time.Time
+	self     lead.Member
+	clients  *link.Clients
+	presence Presence
+	config   Config
+	clock    func() time.Time
+	log      logs.Logger
+	refused  map[reason]metric.Counter
+	asked    metric.Counter
 
 	wallets [lockShards]walletShard
 	ledgers [lockShards]ledgerShard
@@ -98,11 +97,11 @@
 )
 
 // New returns the desk of the VM self. Without an address, a VM grants all tokens to itself. The desk ends with ctx.
-func New(ctx context.Context, self lead.Member, clients *link.Clients, lease Lease, config Config, metrics *metric.Set,
+func New(ctx context.Context, self lead.Member, clients *link.Clients, presence Presence, config Config, metrics *metric.Set,
 	clock func() time.Time, log logs.Logger,
 ) *Desk {
 	d := &Desk{
-		ctx: ctx, started: clock(), self: self, clients: clients, lease: lease, config: config, clock: clock, log: log,
+		ctx: ctx, started: clock(), self: self, clients: clients, presence: presence, config: config, clock: clock, log: log,
 		refused: map[reason]metric.Counter{
 			reasonLimit:  metrics.Counter(Refused, string(reasonLimit)),
 			reasonSilent: metrics.Counter(Refused, string(reasonSilent)),
--- a/io/grant/grant_test.go
+++ b/io/grant/grant_test.go
@@ -53,8 +53,8 @@
 			member: lead.NewMember(name, 0, 0, nil).WithLocation("dc", l.Addr().String()),
 			peers:  link.NewServer(ctx, time.Now, logs.Nop()), cancel: cancel,
 		}
-		v.Desk = New(ctx, v.member, link.NewClients(ctx, time.Now), func() (time.Time, time.Time, time.Time) {
-			return since, time.Now().Add(time.Minute), time.Time{}
+		v.Desk = New(ctx, v.member, link.NewClients(ctx, time.Now), func() lead.Presence {
+			return lead.NewPresence(since, time.Now().Add(time.Minute), time.Time{})
 		}, config, testMetrics(), time.Now, logs.Nop())
 		v.Register(v.peers)
 		v.peers.Serve(l)
--- a/io/grant/hold.go
+++ b/io/grant/hold.go
@@ -87,7 +87,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.holder.SetLease(d.lease())
+	d.holder.SetPresence(d.presence())
 	term, ok := d.holder.Term(k, now)
 	return term, d.borrower.Loans(k), ok
 }
@@ -99,7 +99,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.holder.SetLease(d.lease())
+	d.holder.SetPresence(d.presence())
 	return d.holder.Holds(k, now)
 }
 
--- a/io/grant/loan.go
+++ b/io/grant/loan.go
@@ -33,7 +33,7 @@
 func (d *Desk) wantedLoans(now time.Time) map[string][]loan {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.holder.SetLease(d.lease())
+	d.holder.SetPresence(d.presence())
 	wanted := make(map[string][]loan)
 	for shard := range quota.Shards() {
 		borrower, ok := d.holder.Borrowing(shard, now)
@@ -81,7 +81,7 @@
 	now := d.clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.holder.SetLease(d.lease())
+	d.holder.SetPresence(d.presence())
 	var r loanReply
 	for _, k := range q.Keys {
 		life, _ := d.holder.Lend(quota.NewKey(k.Shard, k.Portion), q.VM, quota.NewKey(k.Shard, k.Borrower), now)
