io/elect: a mark of the era that could not be written waits before the next try

The first VM in turn would have tried again every 50 ms while the store did not answer, until its lease ended. It now waits for 1 s, as after a failed replacement. 723 names the time that is left, which a reader can use, in place of a time on a clock that counts from the start of the machine.

--- a/core/event/catalog.go
+++ b/core/event/catalog.go
@@ -152,7 +152,7 @@
 	{RecordRewritten, LayerFailover, "the record of a primary that the store had lost was written again", "None: the store came back from a copy (721)."},
 	{EraChanged, LayerFailover, "the store has come back from a copy; everything is read again", "Check that operators have written their configuration again. Primaries are replaced again after 6.1 s."},
 	{EntryHeldBack, LayerFailover, "the entry of a server in a copy of the store is older than what is known of the server, and was not used", "None, unless the server is in use: then it has not written its entry since."},
-	{PrimariesWait, LayerFailover, "no primary is used until the leases of earlier eras of the store have ended", "None; the field until says when that is. If it lasts, check whether the store comes back from a copy again and again (721)."},
+	{PrimariesWait, LayerFailover, "no primary is used until the leases of earlier eras of the store have ended", "None; the field left says how long that takes. If it comes back, check whether the store comes back from a copy again and again (721)."},
 	{PrimariesUsable, LayerFailover, "primaries may be used again after the store came back from a copy", "None."},
 	{FirstList, LayerFailover, "first list of VMs since the store came back from a copy", "None; kept counts the VMs that the list lacks and that stay on the roster, since they have not had time to renew their leases."},
 	{ConfigApplied, LayerConfig, "configuration revision in force", "None."},
--- a/io/elect/check.go
+++ b/io/elect/check.go
@@ -112,8 +112,7 @@
 	waits := e.lease.Valid(now) && !e.restore.MayUse(now)
 	switch {
 	case waits && !e.waitLogged:
-		e.log.Event(event.PrimariesWait, zap.Time("until", e.restore.Until()), zap.Duration("left", e.restore.Until().Sub(now)),
-			zap.Uint64("era", e.era))
+		e.log.Event(event.PrimariesWait, zap.Duration("left", e.restore.Until().Sub(now)), zap.Uint64("era", e.era))
 	case !waits && e.waitLogged && e.lease.Valid(now):
 		e.log.Event(event.PrimariesUsable, zap.Uint64("era", e.era))
 		e.notifyChanged()
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -57,7 +57,7 @@
 	surveyTimeout = 800 * time.Millisecond
 	// startupGrace is how long a VM may take to obtain its first lease before it counts as cut off for callers.
 	startupGrace = 2 * time.Second
-	// failedMoveDelay is how long a VM that failed to replace a primary waits before it tries again, so that other VMs can.
+	// failedMoveDelay is how long a VM that failed to replace a primary, or to write a mark, waits before it tries again, so that other VMs can.
 	failedMoveDelay = time.Second
 )
 
@@ -139,7 +139,7 @@
 	mark        lead.EraMark // the newest one in the store
 	markRow     era.Position // of the row with it
 	markRunning bool
-	markDue     time.Time     // since when this era needs a mark, zero if it has one
+	markDue     time.Time     // from when on the VMs write a mark of this era in turn, zero if they have not noticed that it has none
 	heardAt     time.Duration // the store's clock in the first answer of this era to a call of this VM, 0 before
 	eraBegan    time.Time     // by when this era had begun, zero if that is not known
 	inEra       time.Time     // since when this VM has had a lease of this era, zero before
--- a/io/elect/mark.go
+++ b/io/elect/mark.go
@@ -69,7 +69,7 @@
 	defer func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.markRunning, e.markDue = false, e.clock()
+		e.markRunning, e.markDue = false, e.clock().Add(failedMoveDelay)
 	}()
 	row, err := encodeEraMark(mark)
 	if err != nil {
