core/eras: rename of core/era

The house style asks for names of packages of four to six letters. Only the name of the package changes. Run: go build, go vet, formatter and linter.

--- a/core/era/era.go
+++ b/core/eras/eras.go
@@ -1,6 +1,6 @@
-// Package era orders what the platform's store says across its eras. A store that comes back from a copy begins a new era: what was written
+// Package eras orders what the platform's store says across its eras. A store that comes back from a copy begins a new era: what was written
 // since the copy is gone, and versions are given out again, so a version has a meaning only together with its era.
-package era
+package eras
 
 import "fmt"
 
--- a/core/era/era_test.go
+++ b/core/eras/eras_test.go
@@ -1,4 +1,4 @@
-package era_test
+package eras_test
 
 import (
 	"fmt"
@@ -6,18 +6,18 @@
 
 	"pgregory.net/rapid"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 )
 
 func ExampleTracker() {
-	var t era.Tracker
-	for _, p := range []era.Position{era.At(0, 90), era.At(1, 50), era.At(0, 91), era.At(1, 51)} {
+	var t eras.Tracker
+	for _, p := range []eras.Position{eras.At(0, 90), eras.At(1, 50), eras.At(0, 91), eras.At(1, 51)} {
 		switch e := t.Observe(p).(type) {
-		case era.Current:
+		case eras.Current:
 			fmt.Println(p, "is current")
-		case era.Older:
+		case eras.Older:
 			fmt.Println(p, "is older than", e.Newest())
-		case era.Changed:
+		case eras.Changed:
 			fmt.Println(p, "begins an era after", e.From())
 		}
 	}
@@ -34,7 +34,7 @@
 		version := rapid.Uint64Range(0, 1<<40-1)
 		e1, e2 := rapid.Uint64Range(0, 1000).Draw(t, "e1"), rapid.Uint64Range(0, 1000).Draw(t, "e2")
 		v1, v2 := version.Draw(t, "v1"), version.Draw(t, "v2")
-		p1, p2 := era.At(e1, v1), era.At(e2, v2)
+		p1, p2 := eras.At(e1, v1), eras.At(e2, v2)
 		if p1.Era() != e1 || p1.Version() != v1 {
 			t.Fatalf("%s is not era %d, version %d", p1, e1, v1)
 		}
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/owner"
 	"verbenagate/core/point"
 )
@@ -103,7 +103,7 @@
 // Rewrites reports whether r says the same as old, and was written in a later era of the store, which had lost old.
 func (r Record) Rewrites(old Record) bool {
 	return r.phase == Stable && old.phase == Stable && r.server == old.server && r.term == old.term &&
-		era.Position(r.version).Era() > era.Position(old.version).Era()
+		eras.Position(r.version).Era() > eras.Position(old.version).Era()
 }
 
 // Version returns the table's version of the record, which grows with each change of any record, and from one era of the store to the next.
--- a/core/lead/restore_test.go
+++ b/core/lead/restore_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 )
 
 func ExampleRestore() {
@@ -55,7 +55,7 @@
 // Guards against work that counts as unknown since the record of its primary was written again, and against work that goes on after a
 // replacement.
 func TestRewrites(t *testing.T) {
-	version := func(inEra, n uint64) uint64 { return uint64(era.At(inEra, n)) }
+	version := func(inEra, n uint64) uint64 { return uint64(eras.At(inEra, n)) }
 	old := NewRecord(Stable, "s", 3, "vm").WithVersion(version(0, 90))
 	for _, c := range []struct {
 		r    Record
--- a/core/port/rows.go
+++ b/core/port/rows.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/exec"
 	"verbenagate/core/point"
 )
@@ -22,14 +22,14 @@
 	Table   string
 	Key     string
 	Value   []byte
-	Version era.Position // 0 for a row that does not exist
-	Deleted bool         // set only in the result of Changes
+	Version eras.Position // 0 for a row that does not exist
+	Deleted bool          // set only in the result of Changes
 }
 
 // Snapshot holds rows that the store returned, and the state of the store at that time.
 type Snapshot struct {
 	Rows    []Row
-	Version era.Position  // the store's newest version
+	Version eras.Position // the store's newest version
 	Clock   time.Duration // the store's monotonic clock
 	Relayed bool          // another VM made the call, so that Clock may be older than the request
 }
@@ -40,7 +40,7 @@
 	List(ctx context.Context, table string) (Snapshot, error)
 	// Changes waits up to wait for changes that are newer than the version after. It may return earlier, without rows. It
 	// returns ErrHistoryGone if the store no longer holds the changes, or if its era is another one.
-	Changes(ctx context.Context, table string, after era.Position, wait time.Duration) (Snapshot, error)
+	Changes(ctx context.Context, table string, after eras.Position, wait time.Duration) (Snapshot, error)
 }
 
 // RowStore is the platform's store of tables with versioned rows.
@@ -56,12 +56,12 @@
 type Eras interface {
 	// Observe records a position of which this process has heard. It reports false if the position is of an era that has ended, so that
 	// nothing of the answer with it may be used.
-	Observe(p era.Position) bool
+	Observe(p eras.Position) bool
 	// Era returns the newest era of which this process has heard.
 	Era() uint64
 	// OnChange makes the store call f with each change of the era, before anything of the new era is used, and at once if this process has
 	// heard of one already. F must not call the store.
-	OnChange(f func(era.Changed))
+	OnChange(f func(eras.Changed))
 }
 
 // Promoter promotes the server id to the primary of the next term of its group. Token is a fencing token, which increases with
--- a/io/edge/calls_test.go
+++ b/io/edge/calls_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/port"
 	"verbenagate/io/edge"
 	"verbenagate/platform"
@@ -38,7 +38,7 @@
 	return c.RowStore.List(ctx, table)
 }
 
-func (c *callCounter) Changes(ctx context.Context, table string, after era.Position, wait time.Duration) (port.Snapshot, error) {
+func (c *callCounter) Changes(ctx context.Context, table string, after eras.Position, wait time.Duration) (port.Snapshot, error) {
 	c.count("changes " + table)
 	return c.RowStore.Changes(ctx, table, after, wait)
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -17,7 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"verbenagate/core/drain"
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/event"
 	"verbenagate/core/layout"
 	"verbenagate/core/lead"
@@ -173,7 +173,7 @@
 	e.quotas.Register(e.peers)
 	agents.Register(e.peers)
 	if a.Eras != nil {
-		a.Eras.OnChange(func(c era.Changed) {
+		a.Eras.OnChange(func(c eras.Changed) {
 			log.Event(event.EraChanged, zap.Stringer("from", c.From()), zap.Stringer("to", c.To()))
 			e.elector.EraChanged(c)
 			e.quotas.EraChanged()
--- a/io/edge/silent_test.go
+++ b/io/edge/silent_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/port"
 	"verbenagate/platform"
 )
@@ -20,7 +20,7 @@
 	open   int           // calls that wait
 }
 
-func (f *silentFeeds) Changes(ctx context.Context, table string, after era.Position, wait time.Duration) (port.Snapshot, error) {
+func (f *silentFeeds) Changes(ctx context.Context, table string, after eras.Position, wait time.Duration) (port.Snapshot, error) {
 	if table != platform.ConfigTable || wait == 0 {
 		return f.RowStore.Changes(ctx, table, after, wait)
 	}
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -13,7 +13,7 @@
 
 	"go.uber.org/zap"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
 	"verbenagate/core/notice"
@@ -67,12 +67,12 @@
 // groupState is this VM's state of one group and its primary.
 type groupState struct {
 	record           lead.Record
-	row              era.Position // of the newest state of the record's row
-	lost             bool         // the row lacks the record since the store came back from a copy
-	rewrittenFrom    uint64       // servingVersion before the record was written again without a change; 0 if it wasn't
-	recordSeen       time.Time    // when this version of the record was first seen
-	stableVersion    uint64       // version of the last stable record
-	servingVersion   uint64       // version of the record under which the primary may be used; 0 after this VM confirmed a move
+	row              eras.Position // of the newest state of the record's row
+	lost             bool          // the row lacks the record since the store came back from a copy
+	rewrittenFrom    uint64        // servingVersion before the record was written again without a change; 0 if it wasn't
+	recordSeen       time.Time     // when this version of the record was first seen
+	stableVersion    uint64        // version of the last stable record
+	servingVersion   uint64        // version of the record under which the primary may be used; 0 after this VM confirmed a move
 	detector         lead.FailureDetector
 	quiet            bool // nothing is to be done until a record, the view or the list of VMs changes or the primary does not answer
 	probing          bool
@@ -135,9 +135,9 @@
 	groups      map[string]*groupState
 	era         uint64 // the newest of the store of which this VM has heard
 	restore     lead.Restore
-	waitLogged  bool         // that no primary may be used yet, see logWait
-	mark        lead.EraMark // the newest one in the store
-	markRow     era.Position // of the row with it
+	waitLogged  bool          // that no primary may be used yet, see logWait
+	mark        lead.EraMark  // the newest one in the store
+	markRow     eras.Position // of the row with it
 	markRunning bool
 	markDue     time.Time     // from when on the VMs write a mark of this era in turn, zero if they have not noticed that it has none
 	heardAt     time.Duration // the store's clock in the first answer of this era to a call of this VM, 0 before
@@ -157,8 +157,8 @@
 	provenSince     time.Time // from when on a lease of this VM has been valid without a gap, also of an earlier process; zero if unknown
 	proofsLeft      int       // how often provenSince may still be read from the store
 	storeClock      lead.StoreClock
-	nextBatch       time.Time    // when the next regular batch of renewals begins
-	ownRowVersion   era.Position // version of this VM's row; 0 if unknown
+	nextBatch       time.Time     // when the next regular batch of renewals begins
+	ownRowVersion   eras.Position // version of this VM's row; 0 if unknown
 	grants          lead.Grants
 	members         []lead.Member
 	listed          bool                     // members contains this VM; before, VMs that start together would all act on each group
@@ -479,7 +479,7 @@
 
 // applyRow applies the record of a group in the row with this version. A row of a copy may hold a record that this VM knows to have been
 // replaced: that record stays, and is to be written again. The caller holds mu.
-func (e *Elector) applyRow(group string, row era.Position, r lead.Record) {
+func (e *Elector) applyRow(group string, row eras.Position, r lead.Record) {
 	g := e.group(group)
 	if row < g.row {
 		return
@@ -504,7 +504,7 @@
 
 // EraChanged makes the elector read all that it knows from the store again. Until then it renews no lease and starts no replacement, and
 // those under way end without an order.
-func (e *Elector) EraChanged(c era.Changed) {
+func (e *Elector) EraChanged(c eras.Changed) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock()
--- a/io/elect/grant.go
+++ b/io/elect/grant.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
 	"verbenagate/core/notice"
@@ -231,7 +231,7 @@
 	e.mu.Unlock()
 	expect := []port.Row{{Table: memberTable, Key: e.name, Version: ownRowVersion}}
 	if len(renew) > 0 {
-		expect = append(expect, port.Row{Table: leadTable, Key: epochKey, Version: era.Position(epoch)})
+		expect = append(expect, port.Row{Table: leadTable, Key: epochKey, Version: eras.Position(epoch)})
 	}
 	var put, remove []port.Row
 	if len(members) == 0 {
--- a/io/elect/mark.go
+++ b/io/elect/mark.go
@@ -7,7 +7,7 @@
 
 	"go.uber.org/zap"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
 	"verbenagate/core/port"
@@ -65,7 +65,7 @@
 }
 
 // writeEraMark writes a mark in place of the row with version expected.
-func (e *Elector) writeEraMark(ctx context.Context, mark lead.EraMark, expected era.Position) {
+func (e *Elector) writeEraMark(ctx context.Context, mark lead.EraMark, expected eras.Position) {
 	defer func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/io/elect/move.go
+++ b/io/elect/move.go
@@ -12,7 +12,7 @@
 
 	"go.uber.org/zap"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
 	"verbenagate/core/point"
@@ -106,11 +106,11 @@
 	mayReturn        bool // the old primary was unreachable, and no promotion can have been ordered yet
 	promotionOrdered bool // a promotion may have been ordered, by this VM or an earlier one, and may take effect late
 	record           lead.Record
-	row              era.Position // of the record
-	recordWritten    time.Time    // when the request that last wrote the record was sent
-	promotedAt       point.Point  // see lead.Record; of oldPrimary until another server leads
-	positions        string       // those that were logged last
-	handedOver       bool         // oldPrimary is a draining server that this move has promoted
+	row              eras.Position // of the record
+	recordWritten    time.Time     // when the request that last wrote the record was sent
+	promotedAt       point.Point   // see lead.Record; of oldPrimary until another server leads
+	positions        string        // those that were logged last
+	handedOver       bool          // oldPrimary is a draining server that this move has promoted
 }
 
 // newRecord returns a record to be written, with what a VM that resumes the move must know.
@@ -123,13 +123,13 @@
 func (m *primaryMove) eraEnded() bool { return m.row != 0 && m.row.Era() != m.e.newestEra() }
 
 // rowOf returns the version of the row with a record, which is that of the record unless the store has come back from a copy since.
-func (e *Elector) rowOf(group string, r lead.Record) era.Position {
+func (e *Elector) rowOf(group string, r lead.Record) eras.Position {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if g := e.group(group); g.record.Version() == r.Version() {
 		return g.row
 	}
-	return era.Position(r.Version())
+	return eras.Position(r.Version())
 }
 
 // syncReplicas returns how many replicas must have received a commit of the group before it is acknowledged.
@@ -221,7 +221,7 @@
 	put := []port.Row{row}
 	if changeEpoch {
 		m.e.mu.Lock()
-		expect = append(expect, port.Row{Table: leadTable, Key: epochKey, Version: era.Position(m.e.epoch)})
+		expect = append(expect, port.Row{Table: leadTable, Key: epochKey, Version: eras.Position(m.e.epoch)})
 		m.e.mu.Unlock()
 		put = append(put, port.Row{Table: leadTable, Key: epochKey, Value: []byte(m.group)})
 	}
@@ -280,7 +280,7 @@
 func (m *primaryMove) awaitConfirmation(ctx context.Context, epoch uint64) error {
 	rows := make(map[string]port.Row)
 	began, listed := m.e.clock(), false
-	var version era.Position
+	var version eras.Position
 	for ctx.Err() == nil {
 		if m.eraEnded() {
 			return errTakenOver
--- a/io/elect/records.go
+++ b/io/elect/records.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/lead"
 	"verbenagate/core/point"
 	"verbenagate/core/port"
@@ -89,7 +89,7 @@
 		phase = lead.Moving
 	}
 	r = lead.NewRecord(phase, g.Server, g.Term, g.Writer).WithPromotedAt(point.New(g.PromotedTerm, g.PromotedNumber))
-	written := era.At(g.Era, row.Version.Version())
+	written := eras.At(g.Era, row.Version.Version())
 	return group, r.WithPromotionOrdered(g.Ordered).WithVersion(uint64(written)), true, nil
 }
 
--- a/io/relay/direct.go
+++ b/io/relay/direct.go
@@ -7,7 +7,7 @@
 
 	"go.uber.org/zap"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
 	"verbenagate/core/notice"
@@ -66,7 +66,7 @@
 
 // changesWithoutAgent reads the changes of a table from the store itself, without a wait for further ones, since an agent has failed or is
 // in doubt. If the store does not answer, it returns cause for an agent that has failed, and no changes for one in doubt.
-func (r *Relay) changesWithoutAgent(ctx context.Context, a lead.Member, table string, after era.Position, cause error) (port.Snapshot, error) {
+func (r *Relay) changesWithoutAgent(ctx context.Context, a lead.Member, table string, after eras.Position, cause error) (port.Snapshot, error) {
 	inDoubt := errors.Is(cause, errInDoubt)
 	if !inDoubt {
 		r.markFailed(a.Name(), cause)
@@ -84,7 +84,7 @@
 }
 
 // directChanges reads the changes of a table from the store, or the whole table if the store does not hold all changes any more.
-func (r *Relay) directChanges(ctx context.Context, table string, after era.Position) (port.Snapshot, error) {
+func (r *Relay) directChanges(ctx context.Context, table string, after eras.Position) (port.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, notice.DirectTimeout)
 	defer cancel()
 	s, err := r.store.Changes(ctx, table, after, 0)
--- a/io/relay/direct_test.go
+++ b/io/relay/direct_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/onsi/gomega"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/lead"
 	"verbenagate/core/port"
 )
@@ -33,7 +33,7 @@
 
 // behindSilentAgents returns a VM whose agents the store does not answer, and the store as the VM sees it. The VM has listed the table with
 // an urgent row.
-func behindSilentAgents(t *testing.T) (v *vm, seen *fakeStore, granters []*silentGranter, version era.Position) {
+func behindSilentAgents(t *testing.T) (v *vm, seen *fakeStore, granters []*silentGranter, version eras.Position) {
 	silent := newFakeStore()
 	seen = newFakeStore()
 	for _, f := range []*fakeStore{silent, seen} {
--- a/io/relay/hub.go
+++ b/io/relay/hub.go
@@ -9,7 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/port"
 	"verbenagate/core/result"
 	"verbenagate/io/watch"
@@ -87,7 +87,7 @@
 // Changes waits up to limit for rows of a table that were changed after the version after, firstListTimeout at least, since the table
 // may have to be listed first. It returns each row in its newest state, and port.ErrHistoryGone if the hub does not hold all changes
 // since that version.
-func (h *hub) Changes(ctx context.Context, name string, after era.Position, limit time.Duration) (port.Snapshot, error) {
+func (h *hub) Changes(ctx context.Context, name string, after eras.Position, limit time.Duration) (port.Snapshot, error) {
 	t := h.acquire(name)
 	defer h.release(t)
 	return t.waitFor(ctx, max(limit, firstListTimeout), func() (port.Snapshot, bool, error) {
@@ -186,7 +186,7 @@
 }
 
 // Changes implements port.RowReader.
-func (r *tableReader) Changes(ctx context.Context, table string, after era.Position, wait time.Duration) (port.Snapshot, error) {
+func (r *tableReader) Changes(ctx context.Context, table string, after eras.Position, wait time.Duration) (port.Snapshot, error) {
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.t.setRecheck(cancel)
@@ -212,8 +212,8 @@
 	listing      *port.Snapshot      // all rows that are not deleted, nil if not determined since the last change of rows
 	encoded      cbor.RawMessage     // the reply with listing, nil if not encoded yet
 	tombstones   int
-	historyFloor era.Position // changes up to this version are not held individually
-	version      era.Position
+	historyFloor eras.Position // changes up to this version are not held individually
+	version      eras.Position
 	listed       bool
 	lastErr      error // of the last call of the store, nil if it succeeded
 	changed      chan struct{}
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/lead"
 	"verbenagate/core/port"
 	"verbenagate/core/result"
@@ -97,7 +97,7 @@
 // changesCall asks for the changes of a table after a version, and waits up to Wait for them.
 type changesCall struct {
 	Table string        `cbor:"1,keyasint"`
-	After era.Position  `cbor:"2,keyasint"`
+	After eras.Position `cbor:"2,keyasint"`
 	Wait  time.Duration `cbor:"3,keyasint"`
 }
 
@@ -106,7 +106,7 @@
 	Code     replyCode     `cbor:"2,keyasint"`
 	Message  string        `cbor:"3,keyasint,omitempty"`
 	Rows     []row         `cbor:"4,keyasint,omitempty"`
-	Version  era.Position  `cbor:"5,keyasint,omitempty"`
+	Version  eras.Position `cbor:"5,keyasint,omitempty"`
 	StoreNow time.Duration `cbor:"6,keyasint,omitempty"`
 	// NextRenewal is the time until the VM's next renewal shares a transaction with others, in the answer to a renewal.
 	NextRenewal time.Duration `cbor:"7,keyasint,omitempty"`
@@ -114,10 +114,10 @@
 
 // row is a row of a table in a reply.
 type row struct {
-	Key     string       `cbor:"1,keyasint"`
-	Value   []byte       `cbor:"2,keyasint,omitempty"`
-	Version era.Position `cbor:"3,keyasint,omitempty"`
-	Deleted bool         `cbor:"4,keyasint,omitempty"`
+	Key     string        `cbor:"1,keyasint"`
+	Value   []byte        `cbor:"2,keyasint,omitempty"`
+	Version eras.Position `cbor:"3,keyasint,omitempty"`
+	Deleted bool          `cbor:"4,keyasint,omitempty"`
 }
 
 // replyCode is the outcome of a call.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -13,7 +13,7 @@
 
 	"go.uber.org/zap"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
 	"verbenagate/core/notice"
@@ -102,7 +102,7 @@
 		ctx, cancel := context.WithTimeout(ctx, notice.RenewTimeout)
 		defer cancel()
 		next, err := r.granterOf().Grant(ctx, q.member(), q.Leave)
-		answer := newReply(port.Snapshot{Version: era.At(r.newestEra(), 0)}, err)
+		answer := newReply(port.Snapshot{Version: eras.At(r.newestEra(), 0)}, err)
 		answer.NextRenewal = next
 		return answer, nil
 	})
@@ -140,7 +140,7 @@
 
 // observe reports whether a reply of another VM with this position may be used: not if its era has ended. A reply without a position says
 // nothing of an era.
-func (r *Relay) observe(p era.Position) bool { return p == 0 || r.eras == nil || r.eras.Observe(p) }
+func (r *Relay) observe(p eras.Position) bool { return p == 0 || r.eras == nil || r.eras.Observe(p) }
 
 func (r *Relay) newestEra() uint64 {
 	if r.eras == nil {
@@ -229,8 +229,8 @@
 		if err != nil {
 			return lead.Fleet{}, err
 		}
-		if answer.Error == "" && r.eras != nil && !r.eras.Observe(era.At(answer.Era, 0)) {
-			return lead.Fleet{}, endedEraError(a, era.At(answer.Era, 0))
+		if answer.Error == "" && r.eras != nil && !r.eras.Observe(eras.At(answer.Era, 0)) {
+			return lead.Fleet{}, endedEraError(a, eras.At(answer.Era, 0))
 		}
 		f, err := answer.fleet(known)
 		if err == nil {
@@ -243,7 +243,7 @@
 }
 
 // Changes implements port.RowReader.
-func (r *Relay) Changes(ctx context.Context, table string, after era.Position, wait time.Duration) (port.Snapshot, error) {
+func (r *Relay) Changes(ctx context.Context, table string, after eras.Position, wait time.Duration) (port.Snapshot, error) {
 	return callFirstAvailable(ctx, r, func() (port.Snapshot, error) {
 		return r.localChanges(ctx, r.localReader(), table, after, wait)
 	}, func(a lead.Member) (port.Snapshot, error) {
@@ -267,7 +267,7 @@
 }
 
 // localChanges waits for changes on this VM. It returns none if another VM becomes the first agent meanwhile.
-func (r *Relay) localChanges(ctx context.Context, rows port.RowReader, table string, after era.Position, wait time.Duration,
+func (r *Relay) localChanges(ctx context.Context, rows port.RowReader, table string, after eras.Position, wait time.Duration,
 ) (port.Snapshot, error) {
 	c := &pendingCall{waits: true, direct: rows == r.store}
 	ctx, end := r.startCall(ctx, r.self, c)
@@ -342,7 +342,7 @@
 }
 
 // endedEraError returns the reason why the reply of an agent is dropped.
-func endedEraError(a lead.Member, p era.Position) error {
+func endedEraError(a lead.Member, p eras.Position) error {
 	return result.New(result.StoreUnavailable, "agent %s replied from an era of the store that has ended: %s", a.Name(), p)
 }
 
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -14,7 +14,7 @@
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/event"
 	"verbenagate/core/lead"
 	"verbenagate/core/port"
@@ -43,7 +43,7 @@
 type fakeStore struct {
 	mu           sync.Mutex
 	rows         map[string]port.Row
-	version      era.Position
+	version      eras.Position
 	changed      chan struct{}
 	down         bool
 	historyGone  bool // calls for changes fail
@@ -105,7 +105,7 @@
 	return s, nil
 }
 
-func (f *fakeStore) Changes(ctx context.Context, _ string, after era.Position, wait time.Duration) (port.Snapshot, error) {
+func (f *fakeStore) Changes(ctx context.Context, _ string, after eras.Position, wait time.Duration) (port.Snapshot, error) {
 	f.mu.Lock()
 	f.changesCalls++
 	f.mu.Unlock()
@@ -256,7 +256,7 @@
 		s := <-got
 		g.Expect(s.Rows).To(gomega.HaveLen(1))
 		g.Expect(s.Rows[0].Deleted).To(gomega.BeTrue())
-		g.Expect(s.Version).To(gomega.Equal(era.Position(2)))
+		g.Expect(s.Version).To(gomega.Equal(eras.Position(2)))
 	}
 	lists, _ := f.callCounts()
 	g.Expect(lists).To(gomega.Equal(1))
@@ -587,7 +587,7 @@
 			}
 			var s port.Snapshot
 			for i := range 3 * n {
-				s.Rows = append(s.Rows, port.Row{Key: fmt.Sprint("server-", i), Version: era.Position(i), Value: fmt.Appendf(nil,
+				s.Rows = append(s.Rows, port.Row{Key: fmt.Sprint("server-", i), Version: eras.Position(i), Value: fmt.Appendf(nil,
 					`{"service":"g-%d","address":"10.0.0.1:%d","zone":"dc0","slots":5,"state":"ready","dbRole":"replica","born":1}`, i/3, i+1)})
 			}
 			t.Reset(time.Time{}, s)
@@ -605,7 +605,7 @@
 	f := newFakeStore()
 	agent := newVM(t, "agent", f)
 	agent.SetAgents([]lead.Member{agent.member()})
-	var last era.Position
+	var last eras.Position
 	for i := range 4 {
 		f.put("a", fmt.Sprint(i), false)
 		f.put(fmt.Sprint("b", i-1), "1", true)
@@ -637,9 +637,9 @@
 	for _, n := range []int{30, 100, 300, 790} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			t := &followedTable{rows: make(map[string]port.Row), changed: make(chan struct{})}
-			s := port.Snapshot{Version: era.Position(3 * n)}
+			s := port.Snapshot{Version: eras.Position(3 * n)}
 			for i := range 3 * n {
-				s.Rows = append(s.Rows, port.Row{Key: fmt.Sprint("server-", i), Version: era.Position(i + 1), Value: make([]byte, 110)})
+				s.Rows = append(s.Rows, port.Row{Key: fmt.Sprint("server-", i), Version: eras.Position(i + 1), Value: make([]byte, 110)})
 			}
 			h := &hub{followed: map[string]*followedTable{"t": t}}
 			b.ReportAllocs()
@@ -664,15 +664,15 @@
 	agent.SetEras(atAgent)
 	behind.SetEras(atVM)
 	behind.SetAgents([]lead.Member{agent.member()})
-	var heard []era.Changed
-	atVM.OnChange(func(c era.Changed) { heard = append(heard, c) })
+	var heard []eras.Changed
+	atVM.OnChange(func(c eras.Changed) { heard = append(heard, c) })
 	g.Expect(behind.renew(t, false)).To(gomega.Succeed())
 	g.Expect(heard).To(gomega.BeEmpty())
-	atAgent.Observe(era.At(2, 7))
+	atAgent.Observe(eras.At(2, 7))
 	g.Expect(behind.renew(t, false)).To(gomega.Succeed())
 	g.Expect(heard).To(gomega.HaveLen(1))
 	g.Expect(atVM.Era()).To(gomega.BeEquivalentTo(2))
-	atVM.Observe(era.At(3, 1))
+	atVM.Observe(eras.At(3, 1))
 	g.Expect(behind.renew(t, false)).To(gomega.Succeed())
 	g.Expect(behind.granter.recordedRenewals()).To(gomega.HaveLen(1), "the agent's era has ended, so the VM renews by itself")
 }
--- a/io/watch/directory_test.go
+++ b/io/watch/directory_test.go
@@ -8,7 +8,7 @@
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/event"
 	"verbenagate/core/layout"
 	"verbenagate/core/port"
@@ -82,7 +82,7 @@
 	f.Reset(*now, entries("a", "left", "joined"))
 	f.Change(*now, port.Snapshot{Rows: []port.Row{{Key: "left", Deleted: true}}})
 	copied := entries("a", "left")
-	copied.Version = era.At(1, 3)
+	copied.Version = eras.At(1, 3)
 	f.Reset(*now, copied)
 	_, known := d.View().Server("joined")
 	g.Expect(known).To(gomega.BeTrue(), "the server may still write its entry again")
--- a/io/watch/follow.go
+++ b/io/watch/follow.go
@@ -7,7 +7,7 @@
 	"runtime/debug"
 	"time"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/port"
 	"verbenagate/core/result"
 	"verbenagate/core/retry"
@@ -40,7 +40,7 @@
 ) {
 	backoff := retry.NewBackoff(minRetryDelay, maxRetryDelay)
 	listed, failures := false, 0
-	var version era.Position
+	var version eras.Position
 	for ctx.Err() == nil {
 		sent := clock()
 		var s port.Snapshot
--- a/io/watch/follow_test.go
+++ b/io/watch/follow_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"verbenagate/core/era"
+	"verbenagate/core/eras"
 	"verbenagate/core/port"
 )
 
@@ -26,7 +26,7 @@
 	return port.Snapshot{Version: 1}, nil
 }
 
-func (f *changingTable) Changes(_ context.Context, _ string, after era.Position, _ time.Duration) (port.Snapshot, error) {
+func (f *changingTable) Changes(_ context.Context, _ string, after eras.Position, _ time.Duration) (port.Snapshot, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.changesCalls++
